--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['packages/*/dist/**/*.test.js'],
+  timeout: '3m',
+  workerThreads: false,
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,18 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', 'node_modules/**', 'bench/out/**'] },
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      // Numbers in messages are always wanted here (ports, offsets, revisions).
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+    },
+  },
+  { files: ['**/*.js'], ...tseslint.configs.disableTypeChecked },
+);
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Admission decisions: limits, quota leases, overload, retries.
+ */
+export * from './concurrency-limit.js';
+export * from './overload-gate.js';
+export * from './quota.js';
+export * from './rate.js';
+export * from './retry-budget.js';
+export * from './retry-decision.js';
+export * from './row-limits.js';
--- /dev/null
+++ b/packages/batch/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Batch decisions of an entry.
+ */
+export * from './allocation.js';
+export * from './headroom.js';
+export * from './ownership.js';
+export * from './yielding.js';
--- /dev/null
+++ b/packages/cli/src/stop-signal.ts
@@ -0,0 +1,24 @@
+/**
+ * Planned stops of daemons.
+ */
+import type { Logger } from '@shedline/logger';
+
+/** Runs `stop` once on SIGTERM or SIGINT, then ends the process. */
+export function stopOnSignal(logger: Logger, stop: () => Promise<void>): void {
+  let stopping = false;
+  const onSignal = (signal: NodeJS.Signals): void => {
+    if (stopping) return;
+    stopping = true;
+    logger.info('stopping', { step: 'stop', signal });
+    stop().then(
+      () => process.exit(0),
+      (error: unknown) => {
+        const reason = error instanceof Error ? error.message : String(error);
+        logger.error('stop failed', { step: 'stop', reason });
+        process.exit(1);
+      },
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Settings of an instance.
+ */
+export * from './schema.js';
+export * from './read-settings.js';
--- /dev/null
+++ b/packages/control-client/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Calls from entries to the control instances.
+ */
+export * from './control-client.js';
+export * from './protocol.js';
+export * from './remote-port.js';
--- /dev/null
+++ b/packages/control-client/src/remote-port.ts
@@ -0,0 +1,43 @@
+/**
+ * A control instance reached over the network.
+ */
+import { PeerClient } from '@shedline/transport';
+import type { PeerSettings } from '@shedline/config';
+import type { ControlMethod, ControlPort } from './protocol.js';
+
+/** Options of {@link RemoteControlPort}. */
+export interface RemoteControlPortOptions {
+  /** Name of the calling instance. */
+  readonly name: string;
+  readonly secret: string;
+  readonly peer: PeerSettings;
+}
+
+/** {@link ControlPort} over a lasting connection. */
+export class RemoteControlPort implements ControlPort {
+  readonly name: string;
+  private readonly client: PeerClient;
+
+  constructor(options: RemoteControlPortOptions) {
+    this.name = options.peer.name;
+    this.client = new PeerClient({
+      name: options.name,
+      secret: options.secret,
+      peerName: options.peer.name,
+      url: `ws://${options.peer.host}:${options.peer.port}`,
+    });
+  }
+
+  /** Bytes sent to the instance so far. */
+  get sentBytes(): number {
+    return this.client.sentBytes;
+  }
+
+  call(method: ControlMethod, payload: unknown, timeoutMs: number): Promise<unknown> {
+    return this.client.request(method, payload, timeoutMs);
+  }
+
+  close(): void {
+    this.client.close();
+  }
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The control daemon as a library.
+ */
+export * from './control-node.js';
+export * from './bootstrap.js';
+export * from './state-machine.js';
+export * from './group-host.js';
--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * What an entry knows of endpoints and of its peers.
+ */
+export * from './cells.js';
+export * from './endpoint-directory.js';
+export * from './entry-membership.js';
--- /dev/null
+++ b/packages/entry/src/batch-runner.ts
@@ -0,0 +1,536 @@
+/**
+ * Runs batch items on the endpoints that this entry owns, in the room that online work
+ * leaves, and stops them at once when online work comes.
+ */
+import { BatchHeadroom, BatchOwnership, allocateSlots, chooseStreamsToStop } from '@shedline/batch';
+import type { WaitingWork } from '@shedline/batch';
+import type { ControlClient } from '@shedline/control-client';
+import type { KnownEndpoint } from '@shedline/directory';
+import type { GrantAnswer, StartAnswer } from '@shedline/jobs';
+import type { Logger } from '@shedline/logger';
+import type { BurnRecorder, EntryMetrics } from '@shedline/metrics';
+import type { ServiceRow } from '@shedline/types';
+import type { EndpointDriver } from './endpoint-driver.js';
+import type { FleetView } from './fleet-view.js';
+import { HeldItems } from './held-items.js';
+import type { HeldItem } from './held-items.js';
+import { runItem } from './item-run.js';
+import type { ItemRunOutcome } from './item-run.js';
+import { ResultCommitter } from './result-committer.js';
+import type { ServiceCalls } from './service-calls.js';
+
+const TICK_MS = 20;
+const OWNERSHIP_INTERVAL_MS = 500;
+const DEMAND_INTERVAL_MS = 200;
+const IDLE_DEMAND_INTERVAL_MS = 1000;
+const RENEW_INTERVAL_MS = 1500;
+/** Less than the lease of the store, so that streams stop before their items go to others. */
+const LEASE_TRUST_MS = 4500;
+const MAX_WAIT_HERE_MS = 3000;
+const MAX_GRANT = 64;
+const RATE_SMOOTHING = 0.3;
+/** Slots on plain services, which have no engine to protect. */
+const PLAIN_SLOTS = 8;
+
+/** Options of {@link BatchRunner}. */
+export interface BatchRunnerOptions {
+  /** Name of the entry, by which entries share out the endpoints. */
+  readonly entry: string;
+  /** Name of this process as a holder of leases; differs after a restart. */
+  readonly leaseOwner: string;
+  readonly control: ControlClient;
+  readonly fleet: FleetView;
+  readonly driver: EndpointDriver;
+  readonly serviceCalls: ServiceCalls;
+  readonly logger: Logger;
+  readonly burn: BurnRecorder;
+  readonly metrics: EntryMetrics;
+  readonly dial: number;
+  readonly random: () => number;
+  readonly nowMs: () => number;
+  /** Live entries that share the endpoints of this one. */
+  readonly liveEntries: () => readonly string[];
+  readonly nextRequestId: () => string;
+}
+
+interface Stream {
+  readonly streamId: string;
+  readonly endpointId: string;
+  readonly startedAtMs: number;
+  readonly stoppable: boolean;
+  readonly held: HeldItem;
+  readonly abort: AbortController;
+  tokens: number;
+}
+
+/** The batch side of one entry. */
+export class BatchRunner {
+  private readonly options: BatchRunnerOptions;
+  private readonly ownership: BatchOwnership;
+  private readonly held = new HeldItems();
+  private readonly committer: ResultCommitter;
+  private readonly headrooms = new Map<string, BatchHeadroom>();
+  private readonly streams = new Map<string, Stream>();
+  private readonly demands = new Map<number, WaitingWork[]>();
+  private readonly rates = new Map<string, { items: number; perSecond: number }>();
+  private readonly loading = new Map<number, Promise<void>>();
+  private timers: NodeJS.Timeout[] = [];
+  private draining = false;
+  private asking = false;
+  private starting = new Set<HeldItem>();
+
+  constructor(options: BatchRunnerOptions) {
+    this.options = options;
+    this.ownership = new BatchOwnership({ self: options.entry });
+    this.committer = new ResultCommitter({
+      control: options.control,
+      owner: options.leaseOwner,
+      logger: options.logger,
+    });
+  }
+
+  /** Batch streams that run now. */
+  get running(): number {
+    return this.streams.size;
+  }
+
+  /** Begins. */
+  start(): void {
+    this.every(TICK_MS, () => {
+      this.tick();
+    });
+    this.every(OWNERSHIP_INTERVAL_MS, () => {
+      this.updateOwnership();
+    });
+    this.every(RENEW_INTERVAL_MS, () => {
+      void this.renewLeases();
+    });
+    this.every(1000, () => {
+      this.updateRates();
+    });
+    void this.askForever();
+  }
+
+  /** Owner of the batch work on an endpoint. */
+  ownerOf(endpointId: string): string | undefined {
+    return this.ownership.ownerOf(endpointId);
+  }
+
+  /** Makes batch work on an endpoint fit beside its online work, now. */
+  yieldAt(endpointId: string): void {
+    const streams = this.streamsAt(endpointId);
+    if (streams.length === 0) return;
+    const allowed = this.allowanceAt(endpointId);
+    for (const stream of chooseStreamsToStop(streams, allowed)) {
+      this.streams.get(stream.streamId)?.abort.abort();
+    }
+  }
+
+  /** Hands back what has not begun, lets running items end or stop, and commits them. */
+  async drain(timeoutMs: number): Promise<void> {
+    this.draining = true;
+    for (const held of this.held.takeAll()) this.handBack(held, 'planned stop');
+    for (const stream of this.streams.values()) {
+      if (stream.stoppable) stream.abort.abort();
+    }
+    const deadlineMs = this.options.nowMs() + timeoutMs;
+    while (this.streams.size + this.committer.pending > 0 && this.options.nowMs() < deadlineMs) {
+      await pause(TICK_MS);
+    }
+    this.stop();
+  }
+
+  /** Ends at once. */
+  stop(): void {
+    this.draining = true;
+    for (const timer of this.timers) clearInterval(timer);
+    this.timers = [];
+    this.committer.stop();
+    for (const stream of this.streams.values()) stream.abort.abort();
+  }
+
+  private every(intervalMs: number, work: () => void): void {
+    this.timers.push(setInterval(work, intervalMs));
+  }
+
+  private updateOwnership(): void {
+    const nowMs = this.options.nowMs();
+    const live = this.options.fleet.endpoints.live(nowMs);
+    const ids = live.map(({ announcement }) => announcement.endpointId);
+    this.ownership.update(ids, this.options.liveEntries(), nowMs);
+  }
+
+  private tick(): void {
+    if (this.draining) return;
+    const nowMs = this.options.nowMs();
+    for (const held of this.held.takeOverdue(nowMs - MAX_WAIT_HERE_MS)) {
+      this.handBack(held, 'no room');
+    }
+    for (const endpoint of this.ownedEndpoints(nowMs)) {
+      const { endpointId } = endpoint.announcement;
+      this.yieldAt(endpointId);
+      this.fill(endpoint);
+    }
+    this.options.metrics.setOpen('batch', this.streams.size);
+  }
+
+  private ownedEndpoints(nowMs: number): KnownEndpoint[] {
+    const { endpoints } = this.options.fleet;
+    return this.ownership
+      .owned(nowMs)
+      .filter((endpointId) => endpoints.isUsable(endpointId, nowMs))
+      .flatMap((endpointId) => endpoints.get(endpointId) ?? []);
+  }
+
+  private streamsAt(endpointId: string): Stream[] {
+    return [...this.streams.values()].filter((stream) => stream.endpointId === endpointId);
+  }
+
+  private allowanceAt(endpointId: string): number {
+    const { fleet, nowMs, dial } = this.options;
+    const endpoint = fleet.endpoints.get(endpointId);
+    if (endpoint === undefined) return 0;
+    if (endpoint.announcement.kind === 'plain') return PLAIN_SLOTS;
+    let headroom = this.headrooms.get(endpointId);
+    if (headroom === undefined) {
+      headroom = new BatchHeadroom({ dial });
+      this.headrooms.set(endpointId, headroom);
+    }
+    const now = nowMs();
+    const row = this.rowsFor(endpoint)[0];
+    if (row === undefined) return 0;
+    const learnt = fleet.limitOf(endpointId, row).value;
+    const online = Math.round(fleet.loads.online(endpointId, now, false));
+    const capacity = Math.min(learnt, endpoint.announcement.load.capacity);
+    return headroom.allowance({ online, capacity, ...row.batch }, now);
+  }
+
+  private rowsFor(endpoint: KnownEndpoint): ServiceRow[] {
+    const { models, services } = endpoint.announcement;
+    return this.options.fleet.table.rows.filter(
+      (row) =>
+        row.models.some((model) => models.includes(model)) ||
+        services.includes(`${row.workspace}/${row.service}`),
+    );
+  }
+
+  private fill(endpoint: KnownEndpoint): void {
+    const { endpointId } = endpoint.announcement;
+    const allowed = this.allowanceAt(endpointId);
+    let running = this.streamsAt(endpointId);
+    while (running.length < allowed) {
+      if (running.some((stream) => stream.held.item.alone)) return;
+      const isEmpty = running.length === 0;
+      const held = this.held.take((item) => this.fits(item, endpoint, isEmpty));
+      if (held === undefined) return;
+      this.launch(held, endpoint);
+      running = this.streamsAt(endpointId);
+    }
+  }
+
+  private fits(held: HeldItem, endpoint: KnownEndpoint, isEmpty: boolean): boolean {
+    if (held.item.alone && !isEmpty) return false;
+    if (!held.lease.idempotent && !this.starting.has(held)) {
+      this.startDurably(held);
+      return false;
+    }
+    const row = this.options.fleet.table.row(held.row);
+    if (row === undefined) return false;
+    const { models, services } = endpoint.announcement;
+    if (row.kind === 'plain') return services.includes(held.row);
+    return row.models.some((model) => models.includes(model));
+  }
+
+  /** A non-idempotent item is sent only once the log says that it is about to be. */
+  private startDurably(held: HeldItem): void {
+    const started = this.held.take((item) => item === held);
+    if (started === undefined) return;
+    void this.confirmStart(held);
+  }
+
+  private async confirmStart(held: HeldItem): Promise<void> {
+    const { leaseId, jobId } = held.lease;
+    const { index } = held.item;
+    try {
+      const answer = (await this.options.control.proposeJob(held.group, {
+        type: 'startItems',
+        leaseId,
+        jobId,
+        indexes: [index],
+      })) as StartAnswer;
+      if (answer.started.includes(index)) {
+        this.starting.add(held);
+        this.held.putBack(held);
+        return;
+      }
+      this.held.close(held);
+    } catch {
+      // It was never sent: handing it back as not run makes it pending again.
+      this.returnItem(held, 'notRun', 'start not confirmed');
+    }
+  }
+
+  private launch(held: HeldItem, endpoint: KnownEndpoint): void {
+    const { fleet, nowMs, nextRequestId } = this.options;
+    const { endpointId } = endpoint.announcement;
+    const stream: Stream = {
+      streamId: nextRequestId(),
+      endpointId,
+      startedAtMs: nowMs(),
+      stoppable: held.lease.idempotent,
+      held,
+      abort: new AbortController(),
+      tokens: 0,
+    };
+    this.starting.delete(held);
+    this.streams.set(stream.streamId, stream);
+    fleet.loads.change(endpointId, 'batch', 1);
+    void this.runStream(stream, endpoint).finally(() => {
+      this.streams.delete(stream.streamId);
+      fleet.loads.change(endpointId, 'batch', -1);
+    });
+  }
+
+  private async runStream(stream: Stream, endpoint: KnownEndpoint): Promise<void> {
+    const { fleet, driver, serviceCalls, nowMs } = this.options;
+    const { held } = stream;
+    const row = fleet.table.row(held.row);
+    if (row === undefined) {
+      this.returnItem(held, 'notRun', 'the service is no longer in the table');
+      return;
+    }
+    try {
+      const outcome = await runItem({
+        held,
+        row,
+        url: endpoint.announcement.url,
+        driver,
+        serviceCalls,
+        requestId: stream.streamId,
+        signal: stream.abort.signal,
+        onToken: () => {
+          stream.tokens += 1;
+        },
+      });
+      this.settle(stream, outcome, nowMs());
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      const known = held.lease.idempotent ? 'retryable' : 'endpointLost';
+      this.returnItem(held, known, reason);
+    }
+  }
+
+  private settle(stream: Stream, outcome: ItemRunOutcome, nowMs: number): void {
+    const { held } = stream;
+    const { burn, metrics, fleet } = this.options;
+    metrics.generated(held.row, 'batch', stream.tokens);
+    if (outcome.kind === 'stopped') {
+      if (this.draining) this.handBack(held, 'yielded at a planned stop');
+      else this.held.putBack(held);
+      return;
+    }
+    if (outcome.kind === 'return') {
+      if (outcome.lost) fleet.endpoints.failed(stream.endpointId, nowMs);
+      this.returnItem(held, outcome.itemReturn.reason, outcome.itemReturn.cause);
+      return;
+    }
+    this.held.close(held);
+    this.committer.addResult(held.group, outcome.result);
+    this.rateOf(held.row).items += 1;
+    burn.record(held.row, 'batchDue', Date.now() <= held.lease.dueAtMs, nowMs);
+    metrics.requestEnded(
+      held.row,
+      'batch',
+      outcome.result.outcome === 'completed' ? 'completed' : 'failed',
+    );
+  }
+
+  private handBack(held: HeldItem, cause: string): void {
+    // A non-idempotent item that the log has as started, but that was never sent.
+    const reason = held.lease.idempotent ? 'yielded' : 'notRun';
+    this.returnItem(held, reason, cause);
+  }
+
+  private returnItem(
+    held: HeldItem,
+    reason: 'yielded' | 'notRun' | 'endpointLost' | 'retryable',
+    cause: string,
+  ): void {
+    this.starting.delete(held);
+    if (!this.held.isOpen(held)) return;
+    this.held.close(held);
+    const { jobId } = held.lease;
+    this.committer.addReturn(held.group, { jobId, index: held.item.index, reason, cause });
+  }
+
+  private async renewLeases(): Promise<void> {
+    const { control, leaseOwner, nowMs } = this.options;
+    const askedAtMs = nowMs();
+    const renewals = [...this.held.leasesByGroup()].map(async ([group, leaseIds]) => {
+      try {
+        const closed = await control.renew(group, leaseOwner, leaseIds);
+        this.held.renewed(group, leaseIds, closed, askedAtMs);
+      } catch {
+        // Leases that stay without renewal are given up below.
+      }
+    });
+    await Promise.all(renewals);
+    this.held.dropSilent(nowMs() - LEASE_TRUST_MS);
+    for (const stream of this.streams.values()) {
+      // A stream of an item that is no longer ours is wasted, unless only its answer can tell.
+      if (!this.held.isOpen(stream.held) && stream.stoppable) stream.abort.abort();
+    }
+  }
+
+  private async askForever(): Promise<void> {
+    let lastFullLookMs = -Infinity;
+    while (!this.draining) {
+      const nowMs = this.options.nowMs();
+      const idle = this.totalDemand() === 0;
+      const due = nowMs - lastFullLookMs >= (idle ? IDLE_DEMAND_INTERVAL_MS : DEMAND_INTERVAL_MS);
+      if (due && this.freeSlots(nowMs) > 0) {
+        lastFullLookMs = nowMs;
+        await this.lookAtDemand();
+      }
+      await this.askForItems();
+      await pause(TICK_MS);
+    }
+  }
+
+  private totalDemand(): number {
+    let total = 0;
+    for (const works of this.demands.values()) {
+      for (const work of works) total += work.pendingItems;
+    }
+    return total;
+  }
+
+  private async lookAtDemand(): Promise<void> {
+    const { control, logger } = this.options;
+    try {
+      const groupCount = await control.groupCount();
+      const groups = Array.from({ length: groupCount }, (_, index) => index + 1);
+      await Promise.all(groups.map((group) => this.lookAtGroup(group)));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      logger.debug('demand not known', { step: 'look at demand', reason });
+    }
+  }
+
+  /** A group without a leader must not hold up the others. */
+  private lookAtGroup(group: number): Promise<void> {
+    const underWay = this.loading.get(group);
+    if (underWay !== undefined) return Promise.resolve();
+    const look = this.loadDemand(group).finally(() => this.loading.delete(group));
+    this.loading.set(group, look);
+    return Promise.race([look, pause(DEMAND_INTERVAL_MS)]);
+  }
+
+  private async loadDemand(group: number): Promise<void> {
+    const { control, fleet } = this.options;
+    try {
+      const demand = await control.demand(group);
+      const works = demand.flatMap((service): WaitingWork[] => {
+        const key = `${service.workspace}/${service.service}`;
+        const row = fleet.table.row(key);
+        if (row === undefined) return [];
+        return [
+          {
+            group,
+            row: key,
+            weight: row.weight,
+            models: row.kind === 'plain' ? [key] : row.models,
+            pendingItems: service.pendingItems,
+            neededItemsPerSecond: service.neededItemsPerSecond,
+            currentItemsPerSecond: this.rateOf(key).perSecond * this.options.liveEntries().length,
+          },
+        ];
+      });
+      this.demands.set(group, works);
+    } catch {
+      this.demands.delete(group);
+    }
+  }
+
+  /** Free slots on all owned endpoints beyond the items that wait here. */
+  private freeSlots(nowMs: number): number {
+    return this.freeSlotsByModel(nowMs).reduce((sum, { slots }) => sum + slots, 0);
+  }
+
+  private freeSlotsByModel(nowMs: number): { model: string; slots: number }[] {
+    const byModel = new Map<string, number>();
+    for (const endpoint of this.ownedEndpoints(nowMs)) {
+      const { endpointId, models, services } = endpoint.announcement;
+      const free = this.allowanceAt(endpointId) - this.streamsAt(endpointId).length;
+      const names = endpoint.announcement.kind === 'plain' ? services : models;
+      const first = names[0];
+      if (free > 0 && first !== undefined) byModel.set(first, (byModel.get(first) ?? 0) + free);
+    }
+    return [...byModel].map(([model, slots]) => ({ model, slots }));
+  }
+
+  private async askForItems(): Promise<void> {
+    if (this.asking || this.draining) return;
+    const nowMs = this.options.nowMs();
+    const slots = this.freeSlotsByModel(nowMs);
+    const waiting = [...this.demands.values()].flat().filter((work) => work.pendingItems > 0);
+    const room = slots.reduce((sum, entry) => sum + entry.slots, 0) - this.held.waitingCount;
+    if (room <= 0 || waiting.length === 0) return;
+    this.asking = true;
+    try {
+      const requests = allocateSlots(slots, waiting, this.options.random);
+      await Promise.all(requests.map((request) => this.grant(request)));
+    } finally {
+      this.asking = false;
+    }
+  }
+
+  private async grant(request: { group: number; row: string; maxItems: number }): Promise<void> {
+    const { control, leaseOwner, nowMs, logger } = this.options;
+    const [workspace = '', service = ''] = request.row.split('/');
+    const maxItems = Math.min(MAX_GRANT, request.maxItems);
+    // Known demand shrinks at once, so that the next round does not ask for it again.
+    const works = this.demands.get(request.group) ?? [];
+    this.demands.set(
+      request.group,
+      works.map((work) =>
+        work.row === request.row
+          ? { ...work, pendingItems: Math.max(0, work.pendingItems - maxItems) }
+          : work,
+      ),
+    );
+    try {
+      const askedAtMs = nowMs();
+      const answer = (await control.proposeJob(request.group, {
+        type: 'grantItems',
+        owner: leaseOwner,
+        workspace,
+        service,
+        maxItems,
+      })) as GrantAnswer;
+      this.held.add(request.group, answer.leases, askedAtMs);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      logger.debug('no items granted', { step: 'grant', group: request.group, reason });
+    }
+  }
+
+  private rateOf(row: string): { items: number; perSecond: number } {
+    const known = this.rates.get(row);
+    if (known !== undefined) return known;
+    const fresh = { items: 0, perSecond: 0 };
+    this.rates.set(row, fresh);
+    return fresh;
+  }
+
+  private updateRates(): void {
+    for (const rate of this.rates.values()) {
+      rate.perSecond += RATE_SMOOTHING * (rate.items - rate.perSecond);
+      rate.items = 0;
+    }
+  }
+}
+
+function pause(pauseMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, pauseMs));
+}
--- /dev/null
+++ b/packages/entry/src/completions.ts
@@ -0,0 +1,326 @@
+/**
+ * `POST /v1/chat/completions` and `/v1/completions`: online generation.
+ */
+import type { ServerResponse } from 'node:http';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { z } from 'zod';
+import type { ShedlineError } from '@shedline/errors';
+import { toShedlineError } from '@shedline/errors';
+import { DEADLINE_HEADER, SERVICE_HEADER, SESSION_HEADER, sha256Hex } from '@shedline/types';
+import type { ServiceRow } from '@shedline/types';
+import type { CallClaimer } from './call-claimer.js';
+import { invalid, notFound, readJson } from './http-support.js';
+import type { EntryHttpContext } from './http-support.js';
+import { OnlineRun } from './online-run.js';
+import type { OnlineAnswer, OnlineContext, OnlineRequest } from './online-run.js';
+import { readSession } from './sessions.js';
+import type { Session } from './sessions.js';
+
+const messageSchema = z.looseObject({
+  role: z.string(),
+  content: z.union([z.string(), z.array(z.unknown()), z.null()]).optional(),
+});
+
+const bodySchema = z.looseObject({
+  model: z.string().optional(),
+  messages: z.array(messageSchema).min(1).optional(),
+  prompt: z.string().optional(),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  n: z.literal(1, 'only one choice can be asked for').nullish(),
+});
+
+/** The body of a generation request. */
+export type CompletionBody = z.infer<typeof bodySchema>;
+
+type Path = OnlineRequest['path'];
+
+/** What the handlers need. */
+export interface CompletionsOptions {
+  readonly context: OnlineContext;
+  readonly claimer: CallClaimer;
+  readonly sessionSecret: string;
+  readonly maxBodyBytes: number;
+  readonly nextRequestId: () => string;
+  /** Refuses work that the entry may not take now. */
+  readonly checkServing: () => void;
+}
+
+interface Prepared {
+  readonly body: CompletionBody;
+  readonly row: ServiceRow;
+  readonly session: Session | undefined;
+  readonly request: Omit<OnlineRequest, 'onToken' | 'signal'>;
+  readonly path: Path;
+}
+
+/** Text that the engine sees as the prompt, for prefixes. */
+export function promptText(body: CompletionBody): string {
+  if (body.messages === undefined) return body.prompt ?? '';
+  const parts = body.messages.map((message) => {
+    const { content } = message;
+    return `${message.role}: ${typeof content === 'string' ? content : JSON.stringify(content)}`;
+  });
+  return parts.join('\n');
+}
+
+/** Checks the body of a generation request. */
+export function checkCompletionBody(body: CompletionBody, path: Path): void {
+  if (path === '/v1/chat/completions' && body.messages === undefined) {
+    throw invalid('messages: must be given');
+  }
+  if (path === '/v1/completions' && body.prompt === undefined) {
+    throw invalid('prompt: must be given');
+  }
+}
+
+/** The schema of the body of a generation request. */
+export { bodySchema as completionBodySchema };
+
+/** Handlers of online generation. */
+export class Completions {
+  private readonly options: CompletionsOptions;
+
+  constructor(options: CompletionsOptions) {
+    this.options = options;
+  }
+
+  /** Answers one request. */
+  async handle(c: EntryHttpContext, workspace: string, path: Path): Promise<Response> {
+    const prepared = await this.prepare(c, workspace, path);
+    const { outgoing } = c.env;
+    const abort = new AbortController();
+    outgoing.on('close', () => {
+      abort.abort();
+    });
+    const key = c.req.header('idempotency-key');
+    if (!prepared.request.idempotent && key !== undefined) {
+      return this.answerClaimed(outgoing, prepared, key, abort.signal);
+    }
+    const release = this.admit(prepared);
+    try {
+      if (prepared.body.stream === true) await this.stream(outgoing, prepared, abort.signal);
+      else await this.whole(outgoing, prepared, abort.signal);
+    } finally {
+      release();
+    }
+    return RESPONSE_ALREADY_SENT;
+  }
+
+  private async prepare(c: EntryHttpContext, workspace: string, path: Path): Promise<Prepared> {
+    const body = await readJson(c, bodySchema, this.options.maxBodyBytes);
+    checkCompletionBody(body, path);
+    this.options.checkServing();
+    const row = this.findRow(c.req.header(SERVICE_HEADER) ?? body.model ?? '', workspace);
+    const session = this.sessionOf(c.req.header(SESSION_HEADER), row);
+    const model = row.models.includes(body.model ?? '') ? body.model : row.models[0];
+    const request = {
+      requestId: this.options.nextRequestId(),
+      row,
+      path,
+      body: { ...body, model },
+      prompt: promptText(body),
+      sessionId: session?.sessionId,
+      idempotent: row.idempotent,
+      deadlineMs: deadlineOf(c.req.header(DEADLINE_HEADER), row),
+    };
+    return { body, row, session, request, path };
+  }
+
+  private findRow(name: string, workspace: string): ServiceRow {
+    const parts = name.split('/');
+    const service = parts.at(-1) ?? '';
+    const named = parts.length > 1 ? parts[0] : workspace;
+    const row = this.options.context.fleet.table.row(`${workspace}/${service}`);
+    if (row?.kind === 'engine' && named === workspace) return row;
+    throw notFound(
+      `there is no generating service ${name}; name it as model "${workspace}/SERVICE" ` +
+        `or by the header ${SERVICE_HEADER}`,
+    );
+  }
+
+  private sessionOf(token: string | undefined, row: ServiceRow): Session | undefined {
+    if (token === undefined) return undefined;
+    const session = readSession(this.options.sessionSecret, token, row.workspace);
+    if (session.service === row.service) return session;
+    throw notFound(`this session belongs to the service ${session.service}`);
+  }
+
+  private admit(prepared: Prepared): () => void {
+    const { desk, nowMs } = this.options.context;
+    return desk.admit(prepared.row, prepared.session !== undefined, nowMs());
+  }
+
+  private run(
+    prepared: Prepared,
+    signal: AbortSignal,
+    onToken: (text: string) => void,
+  ): Promise<OnlineAnswer> {
+    const { context } = this.options;
+    return new OnlineRun(context, { ...prepared.request, signal, onToken }).run();
+  }
+
+  private async stream(
+    outgoing: ServerResponse,
+    prepared: Prepared,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const writer = new StreamWriter(outgoing, prepared);
+    try {
+      const answer = await this.run(prepared, signal, (text) => {
+        writer.token(text);
+      });
+      writer.end(answer);
+    } catch (error) {
+      const failure = toShedlineError(error, { step: 'generate', ran: 'unknown' });
+      if (!writer.fail(failure)) throw failure;
+    }
+  }
+
+  private async whole(
+    outgoing: ServerResponse,
+    prepared: Prepared,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const answer = await this.run(prepared, signal, () => undefined);
+    sendJson(outgoing, wholeBody(prepared, answer));
+  }
+
+  /** A non-idempotent call with a key: claimed before its one send, answered from the record. */
+  private async answerClaimed(
+    outgoing: ServerResponse,
+    prepared: Prepared,
+    key: string,
+    signal: AbortSignal,
+  ): Promise<Response> {
+    const { row } = prepared;
+    const recorded = await this.options.claimer.runOnce({
+      workspace: row.workspace,
+      service: row.service,
+      key,
+      requestHash: sha256Hex(JSON.stringify(prepared.body)),
+      deadlineMs: prepared.request.deadlineMs,
+      run: async () => {
+        const release = this.admit(prepared);
+        try {
+          const answer = await this.run(prepared, signal, () => undefined);
+          const body = Buffer.from(JSON.stringify(wholeBody(prepared, answer)));
+          return { status: 200, contentType: 'application/json', body };
+        } finally {
+          release();
+        }
+      },
+    });
+    if (prepared.body.stream === true) {
+      streamRecorded(outgoing, prepared, recorded.body);
+    } else {
+      outgoing.writeHead(recorded.status, { 'content-type': recorded.contentType });
+      outgoing.end(recorded.body);
+    }
+    return RESPONSE_ALREADY_SENT;
+  }
+}
+
+/** Writes one streamed answer to the caller. */
+class StreamWriter {
+  private readonly outgoing: ServerResponse;
+  private readonly prepared: Prepared;
+  private readonly head: string;
+  private started = false;
+
+  constructor(outgoing: ServerResponse, prepared: Prepared) {
+    this.outgoing = outgoing;
+    this.prepared = prepared;
+    this.head = JSON.stringify(answerBase(prepared, true)).slice(0, -1);
+  }
+
+  /** Sends one token. */
+  token(text: string): void {
+    const isFirst = !this.started;
+    if (isFirst) this.begin();
+    const isChat = this.prepared.path === '/v1/chat/completions';
+    const quoted = JSON.stringify(text);
+    const role = isFirst ? '"role":"assistant",' : '';
+    const piece = isChat ? `"delta":{${role}"content":${quoted}}` : `"text":${quoted}`;
+    this.event(`${this.head},"choices":[{"index":0,${piece},"finish_reason":null}]}`);
+  }
+
+  /** Sends the end of a whole answer. */
+  end(answer: OnlineAnswer): void {
+    if (!this.started) this.begin();
+    const isChat = this.prepared.path === '/v1/chat/completions';
+    const piece = isChat ? '"delta":{}' : '"text":""';
+    const reason = JSON.stringify(answer.finishReason);
+    this.event(`${this.head},"choices":[{"index":0,${piece},"finish_reason":${reason}}]}`);
+    const wantsUsage = this.prepared.body.stream_options?.include_usage === true;
+    if (wantsUsage && answer.usage !== undefined) {
+      this.event(`${this.head},"choices":[],"usage":${JSON.stringify(answer.usage)}}`);
+    }
+    this.outgoing.end('data: [DONE]\n\n');
+  }
+
+  /** Tells of a failure within the stream; false where the stream has not begun. */
+  fail(error: ShedlineError): boolean {
+    if (!this.started) return false;
+    this.event(JSON.stringify({ error: error.toBody() }));
+    this.outgoing.end();
+    return true;
+  }
+
+  private begin(): void {
+    this.started = true;
+    this.outgoing.writeHead(200, {
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+    });
+  }
+
+  private event(data: string): void {
+    this.outgoing.write(`data: ${data}\n\n`);
+  }
+}
+
+function deadlineOf(header: string | undefined, row: ServiceRow): number {
+  if (header === undefined) return row.defaultDeadlineMs;
+  const value = Number(header);
+  if (Number.isFinite(value) && value > 0) return value;
+  throw invalid(`${DEADLINE_HEADER}: must be a positive number of milliseconds`);
+}
+
+function answerBase(prepared: Prepared, streamed: boolean): Record<string, unknown> {
+  const isChat = prepared.path === '/v1/chat/completions';
+  const chatObject = streamed ? 'chat.completion.chunk' : 'chat.completion';
+  return {
+    id: `${isChat ? 'chatcmpl' : 'cmpl'}-${prepared.request.requestId}`,
+    object: isChat ? chatObject : 'text_completion',
+    created: Math.floor(Date.now() / 1000),
+    model: prepared.body.model ?? `${prepared.row.workspace}/${prepared.row.service}`,
+  };
+}
+
+function wholeBody(prepared: Prepared, answer: OnlineAnswer): Record<string, unknown> {
+  const text = answer.tokens.join('');
+  const isChat = prepared.path === '/v1/chat/completions';
+  const content = isChat ? { message: { role: 'assistant', content: text } } : { text };
+  const choice = { index: 0, ...content, finish_reason: answer.finishReason };
+  return { ...answerBase(prepared, false), choices: [choice], usage: answer.usage };
+}
+
+function sendJson(outgoing: ServerResponse, body: Record<string, unknown>): void {
+  outgoing.writeHead(200, { 'content-type': 'application/json' });
+  outgoing.end(JSON.stringify(body));
+}
+
+/** A recorded answer in the form of a stream. */
+function streamRecorded(outgoing: ServerResponse, prepared: Prepared, body: Buffer): void {
+  const recorded = JSON.parse(body.toString()) as {
+    choices: { message?: { content: string }; text?: string; finish_reason: string }[];
+    usage?: OnlineAnswer['usage'];
+  };
+  const choice = recorded.choices[0];
+  const writer = new StreamWriter(outgoing, prepared);
+  writer.token(choice?.message?.content ?? choice?.text ?? '');
+  writer.end({ finishReason: choice?.finish_reason ?? 'stop', usage: recorded.usage, tokens: [] });
+}
--- /dev/null
+++ b/packages/entry/src/entry-node.ts
@@ -0,0 +1,412 @@
+/**
+ * The entry daemon: wires the decisions of one entry to its connections and timers.
+ */
+import { randomBytes } from 'node:crypto';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { serve } from '@hono/node-server';
+import type { ServerType } from '@hono/node-server';
+import type { EntrySettings, Settings } from '@shedline/config';
+import type { ControlClient } from '@shedline/control-client';
+import type { Logger } from '@shedline/logger';
+import { ShedlineError } from '@shedline/errors';
+import { BurnRecorder, EntryMetrics, LatencyRecorder } from '@shedline/metrics';
+import { chooseAddresses } from '@shedline/routing';
+import type { AddressCandidate, RoutingStrategy } from '@shedline/routing';
+import type { EntryStatus } from '@shedline/table';
+import type { Announcement } from '@shedline/types';
+import { AdmissionDesk } from './admission-desk.js';
+import { Authenticator } from './auth.js';
+import { BatchRunner } from './batch-runner.js';
+import { CallClaimer } from './call-claimer.js';
+import { Completions } from './completions.js';
+import { OpenAiDriver } from './endpoint-driver.js';
+import { EntryPeers } from './entry-peers.js';
+import { FleetView } from './fleet-view.js';
+import { JobsApi } from './jobs-api.js';
+import type { OnlineContext } from './online-run.js';
+import { OperatorApi } from './operator-api.js';
+import { createRoutes } from './routes.js';
+import { ServiceCalls } from './service-calls.js';
+
+const REFRESH_TIMEOUT_MS = 2000;
+const CLEANUP_INTERVAL_MS = 30_000;
+const POLL_MS = 20;
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Time for the news of a drain to reach every entry that hands out addresses. */
+const DRAIN_NEWS_MS = 1500;
+const EPOCH_BYTES = 6;
+
+/** Options of {@link EntryNode}. */
+export interface EntryNodeOptions {
+  readonly settings: Settings;
+  readonly entry: EntrySettings;
+  readonly control: ControlClient;
+  readonly logger: Logger;
+  readonly random?: () => number;
+  readonly nowMs?: () => number;
+  readonly strategy?: RoutingStrategy;
+}
+
+/** One entry instance. */
+export class EntryNode {
+  readonly fleet: FleetView;
+  readonly batch: BatchRunner;
+  private readonly settings: Settings;
+  private readonly entry: EntrySettings;
+  private readonly control: ControlClient;
+  private readonly logger: Logger;
+  private readonly random: () => number;
+  private readonly nowMs: () => number;
+  private readonly epoch = randomBytes(EPOCH_BYTES).toString('hex');
+  private readonly latencies = new LatencyRecorder();
+  private readonly burn = new BurnRecorder();
+  private readonly metrics: EntryMetrics;
+  private readonly peers: EntryPeers;
+  private readonly desk: AdmissionDesk;
+  private readonly driver = new OpenAiDriver();
+  private server: ServerType | undefined;
+  private url = '';
+  private draining = false;
+  private openRequests = 0;
+  private requestCount = 0;
+  private refreshedAtMs = -Infinity;
+  private others: readonly EntryStatus[] = [];
+  private timers: NodeJS.Timeout[] = [];
+  private refreshing = false;
+  private drained: Promise<void> | undefined;
+
+  constructor(options: EntryNodeOptions) {
+    this.settings = options.settings;
+    this.entry = options.entry;
+    this.control = options.control;
+    this.logger = options.logger;
+    this.random = options.random ?? Math.random;
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.metrics = new EntryMetrics(this.latencies);
+    this.fleet = new FleetView({
+      availabilityZone: this.settings.availabilityZone,
+      endpointLeaseMs: this.entry.endpointLeaseMs,
+      random: this.random,
+      ...(options.strategy === undefined ? {} : { strategy: options.strategy }),
+    });
+    this.peers = new EntryPeers({
+      settings: this.settings,
+      entry: this.entry,
+      fleet: this.fleet,
+      burn: this.burn,
+      logger: this.logger,
+      random: this.random,
+      nowMs: this.nowMs,
+      epoch: this.epoch,
+      onYield: (endpointId) => {
+        this.batch.yieldAt(endpointId);
+      },
+    });
+    this.desk = new AdmissionDesk(this.fleet, this.peers.holder);
+    this.batch = this.createBatch();
+  }
+
+  /** Where callers reach this entry. */
+  get address(): string {
+    return this.entry.publicUrl ?? this.url;
+  }
+
+  /** Reads the table through the quorum, then serves. */
+  async start(): Promise<void> {
+    await this.firstRefresh();
+    const listening = await this.listen();
+    this.url = `http://${this.entry.listenHost}:${listening.port}`;
+    await this.peers.start(this.desk.limits);
+    this.batch.start();
+    this.every(this.entry.tableRefreshIntervalMs, () => {
+      void this.refresh();
+    });
+    this.every(CLEANUP_INTERVAL_MS, () => {
+      this.fleet.forgetGone(this.nowMs());
+    });
+    this.logger.info('entry ready', { step: 'start', url: this.address });
+  }
+
+  /**
+   * Planned stop: withdraws itself from the address answers, waits out the answers that
+   * callers still keep, lets running requests end, hands batch work back, then stops.
+   */
+  drain(): Promise<void> {
+    this.drained ??= this.drainOnce();
+    return this.drained;
+  }
+
+  /** Ends at once, as a lost instance would. */
+  async kill(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    this.batch.stop();
+    (this.server as Server | undefined)?.closeAllConnections();
+    this.server?.close();
+    await this.peers.stop();
+    await this.driver.close();
+  }
+
+  private async drainOnce(): Promise<void> {
+    this.draining = true;
+    this.logger.info('draining', { step: 'drain' });
+    const batchDrained = this.batch.drain(this.entry.drainTimeoutMs);
+    this.peers.handOverSessions();
+    await this.refresh();
+    if (this.hasOtherEntries()) await pause(this.entry.keepForMs + DRAIN_NEWS_MS);
+    const server = this.server as Server | undefined;
+    server?.close();
+    server?.closeIdleConnections();
+    const deadlineMs = this.nowMs() + this.entry.drainTimeoutMs;
+    while (this.openRequests > 0 && this.nowMs() < deadlineMs) await pause(POLL_MS);
+    await batchDrained;
+    this.logger.info('drained', { step: 'drain', cutRequests: this.openRequests });
+    await this.kill();
+  }
+
+  private hasOtherEntries(): boolean {
+    return this.others.some((status) => status.entry !== this.settings.name && !status.draining);
+  }
+
+  private createBatch(): BatchRunner {
+    return new BatchRunner({
+      entry: this.settings.name,
+      leaseOwner: `${this.settings.name}/${this.epoch}`,
+      control: this.control,
+      fleet: this.fleet,
+      driver: this.driver,
+      serviceCalls: this.createServiceCalls(),
+      logger: this.logger,
+      burn: this.burn,
+      metrics: this.metrics,
+      dial: this.entry.batchDial,
+      random: this.random,
+      nowMs: this.nowMs,
+      liveEntries: () => this.peers.liveEntries(),
+      nextRequestId: () => this.nextRequestId(),
+    });
+  }
+
+  private createContext(): OnlineContext {
+    return {
+      fleet: this.fleet,
+      desk: this.desk,
+      driver: this.driver,
+      logger: this.logger,
+      latencies: this.latencies,
+      burn: this.burn,
+      nowMs: this.nowMs,
+      onlineStarted: (endpointId) => {
+        this.onlineStarted(endpointId);
+      },
+    };
+  }
+
+  private createServiceCalls(): ServiceCalls {
+    return new ServiceCalls({
+      context: this.createContext(),
+      claimer: new CallClaimer(this.control),
+      maxBodyBytes: this.entry.maxBodyBytes,
+      checkServing: () => {
+        this.checkServing();
+      },
+    });
+  }
+
+  private onlineStarted(endpointId: string): void {
+    if (this.fleet.loads.batch(endpointId, this.nowMs()) === 0) return;
+    const owner = this.batch.ownerOf(endpointId);
+    if (owner === undefined || owner === this.settings.name) {
+      this.batch.yieldAt(endpointId);
+      return;
+    }
+    this.peers.sayOnline(owner, endpointId);
+  }
+
+  private async listen(): Promise<AddressInfo> {
+    const completions = new Completions({
+      context: this.createContext(),
+      claimer: new CallClaimer(this.control),
+      sessionSecret: this.settings.instanceSecret,
+      maxBodyBytes: this.entry.maxBodyBytes,
+      nextRequestId: () => this.nextRequestId(),
+      checkServing: () => {
+        this.checkServing();
+      },
+    });
+    const { control, fleet } = this;
+    const { maxChunkBytes, maxItemBytes } = this.entry;
+    const routes = createRoutes({
+      authenticator: new Authenticator(this.settings.tokens),
+      completions,
+      serviceCalls: this.createServiceCalls(),
+      jobs: new JobsApi({ control, fleet, maxChunkBytes, maxItemBytes }),
+      operator: new OperatorApi({ control, fleet }),
+      sessionSecret: this.settings.instanceSecret,
+      fleet,
+      takeAnnouncement: (announcement) => {
+        this.takeAnnouncement(announcement);
+      },
+      addresses: (query) => this.addresses(query),
+      status: () => this.status(),
+      burnSeries: () => this.peers.burnSeries(),
+      metricsText: () => this.metrics.text(),
+      drain: () => {
+        void this.drain();
+      },
+      isServing: () => !this.draining,
+      track: (change) => {
+        this.openRequests += change;
+        this.metrics.setOpen('online', this.openRequests);
+      },
+      ended: (service, outcome) => {
+        this.metrics.requestEnded(service, 'online', outcome);
+      },
+      logger: this.logger,
+    });
+    const { listenHost, listenPort } = this.entry;
+    return new Promise((resolve, reject) => {
+      const server = serve(
+        {
+          fetch: routes.fetch,
+          hostname: listenHost,
+          port: listenPort,
+          overrideGlobalObjects: false,
+          serverOptions: { headersTimeout: HEADERS_TIMEOUT_MS, maxHeaderSize: 32 * 1024 },
+        },
+        resolve,
+      );
+      server.once('error', reject);
+      this.server = server;
+    });
+  }
+
+  private every(intervalMs: number, work: () => void): void {
+    this.timers.push(setInterval(work, intervalMs));
+  }
+
+  private nextRequestId(): string {
+    this.requestCount += 1;
+    return `${this.epoch}-${this.requestCount.toString(36)}`;
+  }
+
+  private takeAnnouncement(announcement: Announcement): void {
+    if (this.fleet.observe(announcement, 0, this.nowMs())) this.peers.spread(announcement);
+  }
+
+  /** A fresh entry serves nothing before a quorum has told it the table. */
+  private async firstRefresh(): Promise<void> {
+    while (this.refreshedAtMs === -Infinity) {
+      await this.refresh();
+      if (this.refreshedAtMs === -Infinity) await pause(POLL_MS);
+    }
+  }
+
+  private async refresh(): Promise<void> {
+    if (this.refreshing) return;
+    this.refreshing = true;
+    const askedAtMs = this.nowMs();
+    try {
+      const answer = await this.control.refresh(this.ownStatus(), REFRESH_TIMEOUT_MS);
+      this.fleet.table.apply(answer.delta);
+      this.others = answer.entries;
+      this.refreshedAtMs = askedAtMs;
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.logger.debug('table not refreshed', { step: 'refresh', reason });
+    } finally {
+      this.refreshing = false;
+    }
+  }
+
+  private ownStatus(): EntryStatus {
+    return {
+      entry: this.settings.name,
+      url: this.address,
+      availabilityZone: this.settings.availabilityZone,
+      revision: this.fleet.table.revision,
+      draining: this.draining,
+      load: this.fleet.utilization(this.nowMs()),
+    };
+  }
+
+  private isFresh(): boolean {
+    return this.nowMs() - this.refreshedAtMs < this.entry.staleAfterMs;
+  }
+
+  /**
+   * An entry whose table is old takes no work while it knows of entries that are not cut
+   * off. If none is left, the fleet has no quorum, nothing can be accepted, and the table
+   * that it has is the one in force: it goes on.
+   */
+  private checkServing(): void {
+    if (this.isFresh()) return;
+    const reachable = this.peers.liveEntries().length;
+    const known = this.entry.peers.length;
+    if (known <= 1 || reachable > known / 2) return;
+    throw new ShedlineError({
+      type: 'unavailable',
+      message: 'this entry is cut off from the others; use another address',
+      step: 'check table',
+      peer: this.settings.name,
+      ran: 'no',
+      retryAfterMs: 1000,
+    });
+  }
+
+  private addresses(query: {
+    readonly availabilityZone?: string;
+    readonly session?: string;
+  }): unknown {
+    const live = new Set(this.peers.liveEntries());
+    const others = this.others.filter(
+      (status) => status.entry !== this.settings.name && live.has(status.entry),
+    );
+    const candidates = [this.ownStatus(), ...others].map((status): AddressCandidate => ({
+      entry: status.entry,
+      url: status.url,
+      availabilityZone: status.availabilityZone,
+      draining: status.draining,
+      fresh: status.entry === this.settings.name ? this.isFresh() : true,
+      load: status.load,
+    }));
+    const chosen = chooseAddresses({ candidates, random: this.random, ...query });
+    return {
+      addresses: chosen.map(({ url, availabilityZone }) => ({ url, availabilityZone })),
+      keepForMs: this.entry.keepForMs,
+      revision: this.fleet.table.revision,
+    };
+  }
+
+  private async status(): Promise<unknown> {
+    const nowMs = this.nowMs();
+    const endpoints = this.fleet.endpoints.live(nowMs).map(({ announcement, announcedAtMs }) => ({
+      endpointId: announcement.endpointId,
+      kind: announcement.kind,
+      availabilityZone: announcement.availabilityZone,
+      usable: this.fleet.endpoints.isUsable(announcement.endpointId, nowMs),
+      leaving: announcement.leaving,
+      online: Math.round(this.fleet.loads.online(announcement.endpointId, nowMs)),
+      batch: this.fleet.loads.batch(announcement.endpointId, nowMs),
+      capacity: announcement.load.capacity,
+      heardAgoMs: Math.round(nowMs - announcedAtMs),
+    }));
+    return {
+      instance: this.settings.name,
+      revision: this.fleet.table.revision,
+      fresh: this.isFresh(),
+      draining: this.draining,
+      openRequests: this.openRequests,
+      batchStreams: this.batch.running,
+      latencies: this.latencies.summaries(),
+      entries: this.others,
+      liveEntries: this.peers.liveEntries(),
+      endpoints,
+      control: await this.control.statuses(),
+    };
+  }
+}
+
+function pause(pauseMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, pauseMs));
+}
--- /dev/null
+++ b/packages/entry/src/fleet-view.ts
@@ -0,0 +1,180 @@
+/**
+ * Everything that an entry knows when it decides: the table, the endpoints, their loads and
+ * caches, its peers. The decisions themselves are in their own packages.
+ */
+import { ConcurrencyLimit } from '@shedline/admission';
+import { EndpointDirectory } from '@shedline/directory';
+import type { KnownEndpoint } from '@shedline/directory';
+import { CostRouting, LoadView, PrefixIndex, sessionHome } from '@shedline/routing';
+import type { Candidate, RoutingStrategy } from '@shedline/routing';
+import { TableView } from '@shedline/table';
+import type { Announcement, ServiceRow } from '@shedline/types';
+
+/** Options of {@link FleetView}. */
+export interface FleetViewOptions {
+  readonly availabilityZone: string;
+  readonly endpointLeaseMs: number;
+  readonly random: () => number;
+  readonly strategy?: RoutingStrategy;
+}
+
+/** What routing is asked. */
+export interface RouteQuery {
+  readonly row: ServiceRow;
+  readonly prefixes: readonly string[];
+  readonly sessionId: string | undefined;
+  /** Endpoints that already failed this request. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+const MAX_REMEMBERED_SESSIONS = 20_000;
+
+/** Knowledge of one entry. */
+export class FleetView {
+  readonly table = new TableView();
+  readonly endpoints: EndpointDirectory;
+  readonly loads = new LoadView();
+  readonly prefixes = new PrefixIndex();
+  private readonly availabilityZone: string;
+  private readonly strategy: RoutingStrategy;
+  private readonly limits = new Map<string, ConcurrencyLimit>();
+  private readonly sessionEndpoints = new Map<string, string>();
+
+  constructor(options: FleetViewOptions) {
+    this.availabilityZone = options.availabilityZone;
+    this.endpoints = new EndpointDirectory({ leaseMs: options.endpointLeaseMs });
+    this.strategy = options.strategy ?? new CostRouting({ random: options.random });
+  }
+
+  /** Takes an announcement; false where something newer is known. */
+  observe(announcement: Announcement, ageMs: number, nowMs: number): boolean {
+    if (!this.endpoints.observe(announcement, ageMs, nowMs)) return false;
+    const { endpointId, load, cachedPrefixes } = announcement;
+    this.loads.report(endpointId, load.running + load.waiting, load.capacity, ageMs, nowMs);
+    if (cachedPrefixes !== undefined) this.prefixes.note(endpointId, cachedPrefixes);
+    return true;
+  }
+
+  /** Endpoints that new work of a row may go to. */
+  endpointsOf(row: ServiceRow, nowMs: number): KnownEndpoint[] {
+    if (row.kind === 'plain') {
+      return this.endpoints.forService(`${row.workspace}/${row.service}`, nowMs);
+    }
+    const found = new Map<string, KnownEndpoint>();
+    for (const model of row.models) {
+      for (const endpoint of this.endpoints.forModel(model, nowMs)) {
+        found.set(endpoint.announcement.endpointId, endpoint);
+      }
+    }
+    return [...found.values()];
+  }
+
+  /** Chooses an endpoint for a request. */
+  route(query: RouteQuery, nowMs: number): KnownEndpoint | undefined {
+    const usable = this.endpointsOf(query.row, nowMs).filter(
+      ({ announcement }) => !query.excluded.has(announcement.endpointId),
+    );
+    const chosen = this.strategy.choose({
+      candidates: usable.map((endpoint) => this.candidateOf(endpoint, nowMs)),
+      heldBlocks: this.prefixes.matches(query.prefixes),
+      promptBlocks: query.prefixes.length,
+      availabilityZone: this.availabilityZone,
+      ...this.sessionHint(query.sessionId, usable),
+    });
+    return usable.find(({ announcement }) => announcement.endpointId === chosen?.endpointId);
+  }
+
+  /** Notes that a turn of a session ran at an endpoint. */
+  noteSession(sessionId: string, endpointId: string): void {
+    this.sessionEndpoints.delete(sessionId);
+    this.sessionEndpoints.set(sessionId, endpointId);
+    if (this.sessionEndpoints.size <= MAX_REMEMBERED_SESSIONS) return;
+    const oldest = this.sessionEndpoints.keys().next().value;
+    if (oldest !== undefined) this.sessionEndpoints.delete(oldest);
+  }
+
+  /** Forgets a closed session. */
+  closeSession(sessionId: string): void {
+    this.sessionEndpoints.delete(sessionId);
+  }
+
+  /** Endpoint of the last turn of a session, as far as this entry knows. */
+  sessionEndpoint(sessionId: string): string | undefined {
+    return this.sessionEndpoints.get(sessionId);
+  }
+
+  /** Sessions and their endpoints, for a peer that takes them over. */
+  sessionHints(): [string, string][] {
+    return [...this.sessionEndpoints];
+  }
+
+  /** Online load and learnt capacity of the endpoints of a row. */
+  pressure(row: ServiceRow, nowMs: number): { load: number; capacity: number } {
+    let load = 0;
+    let capacity = 0;
+    for (const { announcement } of this.endpointsOf(row, nowMs)) {
+      load += this.loads.online(announcement.endpointId, nowMs);
+      capacity += this.limitOf(announcement.endpointId, row).value;
+    }
+    return { load, capacity };
+  }
+
+  /** Learnt concurrency of an endpoint. */
+  limitOf(endpointId: string, row: ServiceRow): ConcurrencyLimit {
+    const known = this.limits.get(endpointId);
+    if (known !== undefined) return known;
+    const capacity = this.loads.capacity(endpointId);
+    const limit = new ConcurrencyLimit({
+      targetMs: row.targets.firstTokenMs,
+      initial: capacity,
+      max: capacity * 2,
+    });
+    this.limits.set(endpointId, limit);
+    return limit;
+  }
+
+  /** Load of this entry's part of the fleet, from 0 to 1. */
+  utilization(nowMs: number): number {
+    let load = 0;
+    let capacity = 0;
+    for (const { announcement } of this.endpoints.live(nowMs)) {
+      load += this.loads.online(announcement.endpointId, nowMs);
+      capacity += announcement.load.capacity;
+    }
+    return capacity === 0 ? 1 : Math.min(1, load / capacity);
+  }
+
+  /** Forgets what has long been gone. */
+  forgetGone(nowMs: number): void {
+    this.endpoints.forgetSilent(nowMs);
+    for (const endpointId of this.limits.keys()) {
+      if (this.endpoints.get(endpointId) !== undefined) continue;
+      this.limits.delete(endpointId);
+      this.loads.forget(endpointId);
+      this.prefixes.forget(endpointId);
+    }
+  }
+
+  private candidateOf({ announcement }: KnownEndpoint, nowMs: number): Candidate {
+    const { endpointId, availabilityZone, load } = announcement;
+    return {
+      endpointId,
+      availabilityZone,
+      // Batch streams give way, but not before the step that runs: they cost a little.
+      load: this.loads.online(endpointId, nowMs) + 0.25 * this.loads.batch(endpointId, nowMs),
+      capacity: load.capacity,
+      slowStartShare: this.endpoints.slowStartShare(endpointId, nowMs),
+    };
+  }
+
+  private sessionHint(
+    sessionId: string | undefined,
+    usable: readonly KnownEndpoint[],
+  ): { sessionEndpointId?: string } {
+    if (sessionId === undefined) return {};
+    const ids = usable.map(({ announcement }) => announcement.endpointId);
+    const remembered = this.sessionEndpoints.get(sessionId);
+    const endpoint = remembered ?? sessionHome(sessionId, ids);
+    return endpoint === undefined ? {} : { sessionEndpointId: endpoint };
+  }
+}
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,132 @@
+/**
+ * Errors of shedline. Each carries the step and the peer at which it arose, whether the
+ * request ran, and the HTTP status that a caller sees.
+ */
+import { Result } from 'true-myth';
+import type { Ran } from '@shedline/types';
+
+/** Kinds of errors. */
+export type ErrorType =
+  | 'invalid_request'
+  | 'unauthorized'
+  | 'not_found'
+  | 'conflict'
+  | 'too_large'
+  | 'limit_reached'
+  | 'overloaded'
+  | 'unavailable'
+  | 'deadline_exceeded'
+  | 'in_progress'
+  | 'in_doubt'
+  | 'endpoint_failed'
+  | 'corrupt_storage'
+  | 'internal';
+
+const STATUS_BY_TYPE: Readonly<Record<ErrorType, number>> = {
+  invalid_request: 400,
+  unauthorized: 401,
+  not_found: 404,
+  conflict: 409,
+  too_large: 413,
+  limit_reached: 429,
+  overloaded: 503,
+  unavailable: 503,
+  deadline_exceeded: 504,
+  in_progress: 409,
+  in_doubt: 409,
+  endpoint_failed: 502,
+  corrupt_storage: 500,
+  internal: 500,
+};
+
+/** Options of a {@link ShedlineError}. */
+export interface ShedlineErrorOptions {
+  readonly type: ErrorType;
+  readonly message: string;
+  /** What was being done. */
+  readonly step: string;
+  /** With whom: an instance, an endpoint, a file or the caller. */
+  readonly peer?: string;
+  readonly ran?: Ran;
+  readonly retryAfterMs?: number;
+  readonly cause?: unknown;
+  /** Further data for the caller, such as the current row of a conflict. */
+  readonly details?: Readonly<Record<string, unknown>>;
+}
+
+/** The JSON form of an error on the wire. */
+export interface ErrorBody {
+  readonly type: ErrorType;
+  readonly message: string;
+  readonly step: string;
+  readonly peer: string;
+  readonly ran: Ran;
+  readonly retryAfterMs?: number;
+  readonly details?: Readonly<Record<string, unknown>>;
+}
+
+/** An error with its step, its peer and whether the request ran. */
+export class ShedlineError extends Error {
+  readonly type: ErrorType;
+  readonly step: string;
+  readonly peer: string;
+  readonly ran: Ran;
+  readonly retryAfterMs: number | undefined;
+  readonly details: Readonly<Record<string, unknown>> | undefined;
+
+  constructor(options: ShedlineErrorOptions) {
+    super(options.message, { cause: options.cause });
+    this.name = 'ShedlineError';
+    this.type = options.type;
+    this.step = options.step;
+    this.peer = options.peer ?? 'none';
+    this.ran = options.ran ?? 'no';
+    this.retryAfterMs = options.retryAfterMs;
+    this.details = options.details;
+  }
+
+  /** HTTP status for this error. */
+  get status(): number {
+    return STATUS_BY_TYPE[this.type];
+  }
+
+  /** The form that goes to callers and between instances. */
+  toBody(): ErrorBody {
+    return {
+      type: this.type,
+      message: this.message,
+      step: this.step,
+      peer: this.peer,
+      ran: this.ran,
+      ...(this.retryAfterMs === undefined ? {} : { retryAfterMs: this.retryAfterMs }),
+      ...(this.details === undefined ? {} : { details: this.details }),
+    };
+  }
+}
+
+/** Rebuilds an error from its wire form. */
+export function errorFromBody(body: ErrorBody): ShedlineError {
+  return new ShedlineError(body);
+}
+
+/** Any thrown value as a {@link ShedlineError}; what is one already stays as it is. */
+export function toShedlineError(
+  error: unknown,
+  context: { readonly step: string; readonly peer?: string; readonly ran?: Ran },
+): ShedlineError {
+  if (error instanceof ShedlineError) return error;
+  const message = error instanceof Error ? error.message : String(error);
+  return new ShedlineError({ type: 'internal', message, cause: error, ...context });
+}
+
+/** Runs a promise and gives its failure as a Result. */
+export async function toResult<T>(
+  promise: Promise<T>,
+  context: { readonly step: string; readonly peer?: string },
+): Promise<Result<T, ShedlineError>> {
+  try {
+    return Result.ok(await promise);
+  } catch (error) {
+    return Result.err(toShedlineError(error, context));
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Batch jobs and call claims.
+ */
+export * from './commands.js';
+export * from './jobs.js';
+export * from './lease-clock.js';
+export { MAX_ATTEMPTS, MAX_ENDPOINT_LOSSES } from './job-record.js';
--- /dev/null
+++ b/packages/metrics/src/burn.ts
@@ -0,0 +1,102 @@
+/**
+ * Service-level burn: how fast each service spends its error budget. A budget allows 5 in
+ * 100 events to miss their target; a burn of 1 spends it exactly, 2 twice as fast.
+ */
+
+/** Targets that a service is measured against. */
+export type BurnTarget = 'firstToken' | 'betweenTokens' | 'batchDue';
+
+/** Windows of the report. */
+export const BURN_WINDOWS = [
+  { name: '5m', lengthMs: 300_000 },
+  { name: '1h', lengthMs: 3_600_000 },
+  { name: '6h', lengthMs: 21_600_000 },
+] as const;
+
+/** Share of events that may miss their target. */
+export const ERROR_BUDGET_SHARE = 0.05;
+const BUCKET_MS = 10_000;
+const MAX_BUCKETS = 21_600_000 / BUCKET_MS;
+
+/** Events in one time bucket; `ageMs` is how long ago it began. */
+export interface BurnBucket {
+  readonly ageMs: number;
+  readonly good: number;
+  readonly bad: number;
+}
+
+/** Counts of one target of one service. */
+export interface BurnSeries {
+  readonly service: string;
+  readonly target: BurnTarget;
+  readonly buckets: readonly BurnBucket[];
+}
+
+/** Burn of one target of one service over one window. */
+export interface BurnRow {
+  readonly service: string;
+  readonly target: BurnTarget;
+  readonly window: string;
+  readonly events: number;
+  readonly missed: number;
+  /** Zero where there were no events. */
+  readonly burn: number;
+}
+
+interface Bucket {
+  readonly startMs: number;
+  good: number;
+  bad: number;
+}
+
+/** Counts events that met or missed their targets. */
+export class BurnRecorder {
+  private readonly series = new Map<string, Bucket[]>();
+
+  /** Notes events. */
+  record(service: string, target: BurnTarget, met: boolean, nowMs: number, count = 1): void {
+    const key = JSON.stringify([service, target]);
+    const buckets = this.series.get(key) ?? [];
+    this.series.set(key, buckets);
+    const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
+    let bucket = buckets.at(-1);
+    if (bucket?.startMs !== startMs) {
+      bucket = { startMs, good: 0, bad: 0 };
+      buckets.push(bucket);
+      if (buckets.length > MAX_BUCKETS) buckets.shift();
+    }
+    if (met) bucket.good += count;
+    else bucket.bad += count;
+  }
+
+  /** What was counted, with ages in place of times, so that it can be added to others'. */
+  export(nowMs: number): BurnSeries[] {
+    return [...this.series].map(([key, buckets]) => {
+      const [service, target] = JSON.parse(key) as [string, BurnTarget];
+      const aged = buckets.map(({ startMs, good, bad }) => ({ ageMs: nowMs - startMs, good, bad }));
+      return { service, target, buckets: aged };
+    });
+  }
+}
+
+/** Adds up the counts of several entries. */
+export function burnReport(all: readonly BurnSeries[]): BurnRow[] {
+  const rows = new Map<string, { events: number; missed: number }>();
+  for (const { service, target, buckets } of all) {
+    for (const { name, lengthMs } of BURN_WINDOWS) {
+      const key = JSON.stringify([service, target, name]);
+      const row = rows.get(key) ?? { events: 0, missed: 0 };
+      rows.set(key, row);
+      for (const bucket of buckets) {
+        if (bucket.ageMs >= lengthMs) continue;
+        row.events += bucket.good + bucket.bad;
+        row.missed += bucket.bad;
+      }
+    }
+  }
+  return [...rows].map(([key, { events, missed }]) => {
+    const [service, target, window] = JSON.parse(key) as [string, BurnTarget, string];
+    const burn = events === 0 ? 0 : missed / events / ERROR_BUDGET_SHARE;
+    return { service, target, window, events, missed, burn };
+  });
+}
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Metrics and the burn report.
+ */
+export * from './burn.js';
+export * from './burn-page.js';
+export * from './exposition.js';
+export * from './latency.js';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Routing decisions.
+ */
+export * from './address-choice.js';
+export * from './load-view.js';
+export * from './prefix-index.js';
+export * from './routing.js';
--- /dev/null
+++ b/packages/storage/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Durable storage of a control instance.
+ */
+export * from './file-system.js';
+export * from './item-files.js';
+export * from './recovered-group.js';
+export * from './storage.js';
+export type { GroupBatch } from './wal-record.js';
--- /dev/null
+++ b/packages/storage/src/storage.ts
@@ -0,0 +1,378 @@
+/**
+ * Durable state of one control instance: one write-ahead log for all its groups, so that one
+ * sync serves every group that waits, and one snapshot file a group.
+ */
+import { pack, unpack } from 'msgpackr';
+import { ShedlineError } from '@shedline/errors';
+import type { HardState, SnapshotPosition } from '@shedline/consensus';
+import { decodeFrame, encodeFrame, hasFrameAfter } from './frame.js';
+import type { AppendFile, FileSystem } from './file-system.js';
+import type { RecoveredGroup, StoredSnapshot } from './recovered-group.js';
+import { GroupRecovery } from './recovered-group.js';
+import { decodeBatches, encodeBatches } from './wal-record.js';
+import type { GroupBatch } from './wal-record.js';
+
+const WAL_NAME = /^wal-(\d{12})\.log$/;
+const SNAPSHOT_NAME = /^snapshot-(\d+)-(\d+)\.bin$/;
+const DEFAULT_MAX_SEGMENT_BYTES = 16 * 1024 * 1024;
+const RETRY_DELAY_MS = 250;
+/** Snapshots kept for each group; a transfer may still read the one before the last. */
+const SNAPSHOTS_KEPT = 2;
+
+/** Options of {@link Storage.open}. */
+export interface StorageOptions {
+  readonly files: FileSystem;
+  readonly maxSegmentBytes?: number;
+  /** Called when the disk refuses a write, and with undefined once it takes writes again. */
+  readonly onHealth?: (failure: ShedlineError | undefined) => void;
+}
+
+interface Segment {
+  readonly name: string;
+  /** Highest entry index of each group in the segment. */
+  readonly lastIndexes: Map<number, number>;
+}
+
+interface Waiting {
+  readonly batch: GroupBatch;
+  readonly resolve: () => void;
+}
+
+/** The write-ahead log and the snapshots below one data folder. */
+export class Storage {
+  private readonly files: FileSystem;
+  private readonly maxSegmentBytes: number;
+  private readonly onHealth: (failure: ShedlineError | undefined) => void;
+  private segments: Segment[] = [];
+  private openFile: AppendFile | undefined;
+  private openBytes = 0;
+  private sequence = 0;
+  private segmentNumber = 0;
+  private waiting: Waiting[] = [];
+  private writing = false;
+  private stopped = false;
+  private failure: ShedlineError | undefined;
+  private readonly hardStates = new Map<number, HardState>();
+  private readonly snapshotIndexes = new Map<number, number[]>();
+  private recoveredGroups = new Map<number, RecoveredGroup>();
+  private syncCount = 0;
+  private writtenBytes = 0;
+
+  private constructor(options: StorageOptions) {
+    this.files = options.files;
+    this.maxSegmentBytes = options.maxSegmentBytes ?? DEFAULT_MAX_SEGMENT_BYTES;
+    this.onHealth = options.onHealth ?? (() => undefined);
+  }
+
+  /** Reads what is on the disk. Throws `corrupt_storage` naming file and offset. */
+  static async open(options: StorageOptions): Promise<Storage> {
+    const storage = new Storage(options);
+    await storage.recover();
+    return storage;
+  }
+
+  /** What each group had synced when the storage was opened; read it once. */
+  takeRecovered(): ReadonlyMap<number, RecoveredGroup> {
+    const recovered = this.recoveredGroups;
+    this.recoveredGroups = new Map();
+    return recovered;
+  }
+
+  /** Why writes do not pass at present, if so. */
+  get health(): ShedlineError | undefined {
+    return this.failure;
+  }
+
+  /** Syncs done and bytes written since the start. */
+  get counters(): { syncs: number; writtenBytes: number } {
+    return { syncs: this.syncCount, writtenBytes: this.writtenBytes };
+  }
+
+  /** Bytes of log that a restart would read, roughly. */
+  get segmentCount(): number {
+    return this.segments.length;
+  }
+
+  /**
+   * Returns once the batch is synced. Batches that wait together share one sync. While the
+   * disk refuses writes the promise stays open: nothing is acknowledged, reads go on.
+   */
+  append(batch: GroupBatch): Promise<void> {
+    return new Promise((resolve) => {
+      this.waiting.push({ batch, resolve });
+      if (!this.writing) void this.writeWaiting();
+    });
+  }
+
+  /** Stores a snapshot and drops log segments that all groups have behind them. */
+  async saveSnapshot(group: number, position: SnapshotPosition, state: Uint8Array): Promise<void> {
+    const body = pack([position, state]);
+    await this.files.replace(snapshotName(group, position.index), encodeFrame(0, body));
+    const indexes = this.snapshotIndexes.get(group) ?? [];
+    indexes.push(position.index);
+    while (indexes.length > SNAPSHOTS_KEPT) {
+      const old = indexes.shift();
+      if (old !== undefined) await this.files.remove(snapshotName(group, old));
+    }
+    this.snapshotIndexes.set(group, indexes);
+    await this.dropSegments();
+  }
+
+  /** The latest snapshot of a group, read from the disk. */
+  async readSnapshot(group: number): Promise<StoredSnapshot | undefined> {
+    const index = this.snapshotIndexes.get(group)?.at(-1);
+    return index === undefined ? undefined : this.loadSnapshot(snapshotName(group, index));
+  }
+
+  /** Groups whose entries keep the oldest segment from being dropped. */
+  groupsHoldingOldest(): number[] {
+    const oldest = this.segments[0];
+    if (oldest === undefined || this.segments.length < 2) return [];
+    return [...oldest.lastIndexes]
+      .filter(([group, lastIndex]) => lastIndex > this.snapshotIndexOf(group))
+      .map(([group]) => group);
+  }
+
+  /** Small named documents, such as the identity of the instance. */
+  async readDocument(name: string): Promise<unknown> {
+    const names = await this.files.list();
+    if (!names.includes(name)) return undefined;
+    const frame = decodeFrame(await this.files.read(name), 0);
+    if (frame === undefined) throw corrupt(name, 0, 'the document does not match its checksum');
+    return unpack(frame.body);
+  }
+
+  /** Replaces a small named document; returns once it is synced. */
+  async writeDocument(name: string, value: unknown): Promise<void> {
+    await this.files.replace(name, encodeFrame(0, pack(value)));
+  }
+
+  /** Ends after the write under way. */
+  async close(): Promise<void> {
+    this.stopped = true;
+    while (this.writing) await delay(1);
+    await this.openFile?.close();
+    this.openFile = undefined;
+  }
+
+  private snapshotIndexOf(group: number): number {
+    return this.snapshotIndexes.get(group)?.at(-1) ?? 0;
+  }
+
+  private async writeWaiting(): Promise<void> {
+    this.writing = true;
+    while (this.waiting.length > 0 && !this.stopped) {
+      const taken = this.waiting;
+      this.waiting = [];
+      const batches = taken.map((entry) => entry.batch);
+      if (!(await this.writeUntilSynced(batches))) break;
+      for (const entry of taken) entry.resolve();
+    }
+    this.writing = false;
+  }
+
+  /** Tries until the batches are synced; a failed file is never written again. */
+  private async writeUntilSynced(batches: readonly GroupBatch[]): Promise<boolean> {
+    while (!this.stopped) {
+      try {
+        await this.writeOnce(batches);
+        this.setFailure(undefined);
+        return true;
+      } catch (error) {
+        this.setFailure(writeFailure(error));
+        await this.abandonOpenFile();
+        await delay(RETRY_DELAY_MS);
+      }
+    }
+    return false;
+  }
+
+  private async writeOnce(batches: readonly GroupBatch[]): Promise<void> {
+    if (this.openFile === undefined || this.openBytes >= this.maxSegmentBytes) {
+      await this.startSegment();
+    }
+    const frame = encodeFrame(this.sequence + 1, encodeBatches(batches));
+    await this.openFile?.append(frame);
+    await this.openFile?.sync();
+    this.sequence += 1;
+    this.openBytes += frame.length;
+    this.syncCount += 1;
+    this.writtenBytes += frame.length;
+    this.note(batches);
+  }
+
+  private note(batches: readonly GroupBatch[]): void {
+    const segment = this.segments.at(-1);
+    for (const batch of batches) {
+      if (batch.hardState !== undefined) this.hardStates.set(batch.group, batch.hardState);
+      const last = batch.entries.at(-1);
+      if (last !== undefined) segment?.lastIndexes.set(batch.group, last.index);
+    }
+  }
+
+  /** A new segment begins with the hard states, so that older segments can go. */
+  private async startSegment(): Promise<void> {
+    await this.openFile?.close();
+    this.openFile = undefined;
+    this.segmentNumber += 1;
+    const name = `wal-${String(this.segmentNumber).padStart(12, '0')}.log`;
+    this.openFile = await this.files.create(name);
+    this.openBytes = 0;
+    this.segments.push({ name, lastIndexes: new Map() });
+    const batches = [...this.hardStates].map(([group, hardState]) => ({
+      group,
+      hardState,
+      entries: [],
+    }));
+    const frame = encodeFrame(this.sequence + 1, encodeBatches(batches));
+    await this.openFile.append(frame);
+    await this.openFile.sync();
+    this.sequence += 1;
+    this.openBytes += frame.length;
+  }
+
+  /** After a failed sync the kernel may have dropped the bytes: only a new file is trusted. */
+  private async abandonOpenFile(): Promise<void> {
+    const file = this.openFile;
+    this.openFile = undefined;
+    if (file === undefined) return;
+    try {
+      await file.truncate(this.openBytes);
+      await file.sync();
+    } catch {
+      // The sequence numbers of the next segment tell recovery where this one ends.
+    }
+    await file.close().catch(() => undefined);
+  }
+
+  private setFailure(failure: ShedlineError | undefined): void {
+    if (this.failure === undefined && failure === undefined) return;
+    this.failure = failure;
+    this.onHealth(failure);
+  }
+
+  private async dropSegments(): Promise<void> {
+    while (this.segments.length > 1) {
+      const oldest = this.segments[0];
+      if (oldest === undefined || this.groupsHoldingOldest().length > 0) return;
+      this.segments.shift();
+      await this.files.remove(oldest.name);
+    }
+  }
+
+  private async recover(): Promise<void> {
+    const names = await this.files.list();
+    const snapshots = await this.recoverSnapshots(names);
+    const groups = new Map<number, GroupRecovery>();
+    const walNames = names.filter((name) => WAL_NAME.test(name));
+    let expected: number | undefined;
+    for (const [position, name] of walNames.entries()) {
+      const isLast = position === walNames.length - 1;
+      expected = await this.recoverSegment({ name, isLast, expected, groups });
+    }
+    this.sequence = (expected ?? 1) - 1;
+    for (const group of new Set([...groups.keys(), ...snapshots.keys()])) {
+      const recovery = groups.get(group) ?? new GroupRecovery();
+      const recovered = recovery.finish(snapshots.get(group));
+      this.recoveredGroups.set(group, recovered);
+      this.hardStates.set(group, recovered.hardState);
+    }
+  }
+
+  private async recoverSnapshots(names: readonly string[]): Promise<Map<number, StoredSnapshot>> {
+    const latest = new Map<number, StoredSnapshot>();
+    for (const name of names) {
+      const parts = SNAPSHOT_NAME.exec(name);
+      if (parts === null) continue;
+      const group = Number(parts[1]);
+      const indexes = this.snapshotIndexes.get(group) ?? [];
+      this.snapshotIndexes.set(
+        group,
+        [...indexes, Number(parts[2])].sort((a, b) => a - b),
+      );
+    }
+    for (const [group, indexes] of this.snapshotIndexes) {
+      const index = indexes.at(-1) ?? 0;
+      latest.set(group, await this.loadSnapshot(snapshotName(group, index)));
+    }
+    return latest;
+  }
+
+  private async loadSnapshot(name: string): Promise<StoredSnapshot> {
+    const frame = decodeFrame(await this.files.read(name), 0);
+    if (frame === undefined) throw corrupt(name, 0, 'the snapshot does not match its checksum');
+    const [position, state] = unpack(frame.body) as [SnapshotPosition, Uint8Array];
+    return { position, state: new Uint8Array(state) };
+  }
+
+  private async recoverSegment(options: {
+    readonly name: string;
+    readonly isLast: boolean;
+    readonly expected: number | undefined;
+    readonly groups: Map<number, GroupRecovery>;
+  }): Promise<number | undefined> {
+    const { name, groups } = options;
+    const buffer = await this.files.read(name);
+    const segment: Segment = { name, lastIndexes: new Map() };
+    let offset = 0;
+    let expected = options.expected;
+    while (offset < buffer.length) {
+      const frame = decodeFrame(buffer, offset);
+      if (frame === undefined) {
+        if (hasFrameAfter(buffer, offset)) throw corrupt(name, offset, 'a frame is damaged');
+        if (options.isLast) await this.files.truncate(name, offset);
+        break;
+      }
+      // A segment begun after a failed write may repeat the number of the frame given up.
+      const repeats = offset === 0 && expected !== undefined && frame.sequence < expected;
+      if (expected !== undefined && frame.sequence !== expected && !repeats) {
+        throw corrupt(name, offset, `frame ${expected} is missing, found ${frame.sequence}`);
+      }
+      this.replay(frame.body, segment, groups);
+      expected = frame.sequence + 1;
+      offset = frame.endOffset;
+    }
+    this.segments.push(segment);
+    this.segmentNumber = Number(WAL_NAME.exec(name)?.[1] ?? 0);
+    return expected;
+  }
+
+  private replay(body: Buffer, segment: Segment, groups: Map<number, GroupRecovery>): void {
+    for (const batch of decodeBatches(body)) {
+      const recovery = groups.get(batch.group) ?? new GroupRecovery();
+      groups.set(batch.group, recovery);
+      recovery.add(batch);
+      const last = batch.entries.at(-1);
+      if (last !== undefined) segment.lastIndexes.set(batch.group, last.index);
+    }
+  }
+}
+
+function snapshotName(group: number, index: number): string {
+  return `snapshot-${group}-${String(index).padStart(15, '0')}.bin`;
+}
+
+function corrupt(name: string, offset: number, reason: string): ShedlineError {
+  return new ShedlineError({
+    type: 'corrupt_storage',
+    message:
+      `${name} at offset ${offset}: ${reason}. Move the data folder aside and start empty: ` +
+      'the instance comes back as a new learner and copies the state from its peers.',
+    step: 'recover',
+    peer: name,
+  });
+}
+
+function writeFailure(error: unknown): ShedlineError {
+  return new ShedlineError({
+    type: 'unavailable',
+    message: `the disk refuses writes: ${error instanceof Error ? error.message : String(error)}`,
+    step: 'sync',
+    peer: 'disk',
+    cause: error,
+  });
+}
+
+function delay(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/table/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The table of weights and limits.
+ */
+export * from './commands.js';
+export * from './fields.js';
+export * from './table.js';
+export * from './table-view.js';
+export * from './in-force.js';
--- /dev/null
+++ b/packages/test-utils/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Fixtures that the tests share.
+ */
+export * from './describe.js';
+export * from './random.js';
--- /dev/null
+++ b/packages/test-utils/src/random.ts
@@ -0,0 +1,25 @@
+/**
+ * Seeded random numbers, so that a failing schedule can be run again.
+ */
+
+/** Gives numbers in [0, 1). */
+export type RandomSource = () => number;
+
+/** The mulberry32 generator: small, fast and the same on every machine. */
+export function seededRandom(seed: number): RandomSource {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  };
+}
+
+/** One of `items`. */
+export function pick<T>(random: RandomSource, items: readonly T[]): T {
+  const item = items[Math.floor(random() * items.length)];
+  if (item === undefined) throw new Error('pick: nothing to pick from');
+  return item;
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Messages between the instances of shedline: `ws` connections that carry `msgpackr` frames.
+ */
+export * from './link.js';
+export * from './peer-client.js';
+export * from './peer-server.js';
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,25 @@
+/**
+ * Data types and constants that every package shares.
+ */
+export * from './row.js';
+export * from './endpoint.js';
+export * from './job.js';
+export * from './hash.js';
+
+/** Group of the replicated log that holds the table, leases and fencing numbers. */
+export const TABLE_GROUP = 0;
+
+/** Whether a refused request ran: `no` is only said when it is certain. */
+export type Ran = 'no' | 'unknown' | 'yes';
+
+/** Header that tells a caller whether a refused request ran. */
+export const RAN_HEADER = 'shedline-ran';
+/** Header by which a caller names a service. */
+export const SERVICE_HEADER = 'shedline-service';
+/** Header that carries a session token. */
+export const SESSION_HEADER = 'shedline-session';
+/** Header that carries the caller's remaining time in milliseconds. */
+export const DEADLINE_HEADER = 'shedline-deadline-ms';
+/** Header that names a request between entry and endpoint. */
+export const REQUEST_ID_HEADER = 'x-request-id';
+export * from './prefix.js';
