--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -128,10 +128,11 @@
   succeeded(endpointId: string, latencyMs: number | undefined, nowMs: number): void {
     const entry = this.entries.get(endpointId);
     if (entry === undefined) return;
+    // Requests sent before the ejection may still end well; they do not undo it.
+    if (nowMs < entry.ejectedUntilMs) return;
     entry.failuresInRow = 0;
     entry.probing = false;
     entry.ejections = 0;
-    entry.ejectedUntilMs = 0;
     if (latencyMs === undefined) return;
     const weight = entry.latencySamples === 0 ? 1 : LATENCY_SMOOTHING;
     entry.latencyMs += weight * (latencyMs - entry.latencyMs);
--- a/packages/directory/src/entry-membership.ts
+++ b/packages/directory/src/entry-membership.ts
@@ -277,8 +277,9 @@
   }
 
   private refute(news: PeerNews): void {
-    if (news.state === 'alive' || news.incarnation < this.ownIncarnation) return;
-    this.ownIncarnation = news.incarnation + 1;
+    if (news.state === 'alive') return;
+    // Whoever still holds old news has missed the refutation: it goes out once more.
+    this.ownIncarnation = Math.max(this.ownIncarnation, news.incarnation + 1);
     this.spreading.set(this.self, 0);
   }
 
