Prove durability with real processes: kill, wipe, repair, kill again

Cause: the property tests drive the core, not the daemons. Change: a fleet of real processes for tests, and a test that kills the leader, edits on, wipes the next leader's disk, waits for the repair and kills a third.

--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -525,7 +525,9 @@
       memberId: string;
       clusterId: string | undefined;
     };
-    if (clusterId !== this.cluster?.clusterId) {
+    // An instance that still looks for its cluster belongs to none yet.
+    if (clusterId === undefined || this.cluster === undefined) return;
+    if (clusterId !== this.cluster.clusterId) {
       this.logger.error('peer belongs to another cluster', { peer: instance, step: 'presence' });
       return;
     }
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './describe.js';
 export * from './random.js';
+export * from './process-fleet.js';
