--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -9,7 +9,7 @@
 import type { GrantAnswer, StartAnswer } from '@shedline/jobs';
 import type { Logger } from '@shedline/logger';
 import type { BurnRecorder, EntryMetrics } from '@shedline/metrics';
-import type { ServiceRow } from '@shedline/types';
+import type { ItemLease, LeasedItem, ServiceRow } from '@shedline/types';
 import type { EndpointDriver } from './endpoint-driver.js';
 import type { FleetView } from './fleet-view.js';
 import { HeldItems } from './held-items.js';
@@ -77,7 +77,6 @@
   private timers: NodeJS.Timeout[] = [];
   private draining = false;
   private asking = false;
-  private starting = new Set<HeldItem>();
 
   constructor(options: BatchRunnerOptions) {
     this.options = options;
@@ -230,10 +229,6 @@
 
   private fits(held: HeldItem, endpoint: KnownEndpoint, isEmpty: boolean): boolean {
     if (held.item.alone && !isEmpty) return false;
-    if (!held.lease.idempotent && !this.starting.has(held)) {
-      this.startDurably(held);
-      return false;
-    }
     const row = this.options.fleet.table.row(held.row);
     if (row === undefined) return false;
     const { models, services } = endpoint.announcement;
@@ -241,35 +236,6 @@
     return row.models.some((model) => models.includes(model));
   }
 
-  /** A non-idempotent item is sent only once the log says that it is about to be. */
-  private startDurably(held: HeldItem): void {
-    const started = this.held.take((item) => item === held);
-    if (started === undefined) return;
-    void this.confirmStart(held);
-  }
-
-  private async confirmStart(held: HeldItem): Promise<void> {
-    const { leaseId, jobId } = held.lease;
-    const { index } = held.item;
-    try {
-      const answer = (await this.options.control.proposeJob(held.group, {
-        type: 'startItems',
-        leaseId,
-        jobId,
-        indexes: [index],
-      })) as StartAnswer;
-      if (answer.started.includes(index)) {
-        this.starting.add(held);
-        this.held.putBack(held);
-        return;
-      }
-      this.held.close(held);
-    } catch {
-      // It was never sent: handing it back as not run makes it pending again.
-      this.returnItem(held, 'notRun', 'start not confirmed');
-    }
-  }
-
   private launch(held: HeldItem, endpoint: KnownEndpoint): void {
     const { fleet, nowMs, nextRequestId } = this.options;
     const { endpointId } = endpoint.announcement;
@@ -282,7 +248,6 @@
       abort: new AbortController(),
       tokens: 0,
     };
-    this.starting.delete(held);
     this.streams.set(stream.streamId, stream);
     fleet.loads.change(endpointId, 'batch', 1);
     void this.runStream(stream, endpoint).finally(() => {
@@ -356,7 +321,6 @@
     reason: 'yielded' | 'notRun' | 'endpointLost' | 'retryable',
     cause: string,
   ): void {
-    this.starting.delete(held);
     if (!this.held.isOpen(held)) return;
     this.held.close(held);
     const { jobId } = held.lease;
@@ -508,13 +472,43 @@
         service,
         maxItems,
       })) as GrantAnswer;
-      this.held.add(request.group, answer.leases, askedAtMs);
+      for (const lease of answer.leases) await this.takeLease(request.group, lease, askedAtMs);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       logger.debug('no items granted', { step: 'grant', group: request.group, reason });
     }
   }
 
+  private async takeLease(group: number, lease: ItemLease, askedAtMs: number): Promise<void> {
+    const items = lease.idempotent ? lease.items : await this.startItems(group, lease);
+    this.held.add(group, [{ ...lease, items }], askedAtMs);
+  }
+
+  /**
+   * Non-idempotent items are sent only once the log says that they are about to be. Where
+   * that stays unknown they were not sent, and go back as not run.
+   */
+  private async startItems(group: number, lease: ItemLease): Promise<readonly LeasedItem[]> {
+    const { leaseId, jobId, items } = lease;
+    const indexes = items.map(({ index }) => index);
+    try {
+      const command = { type: 'startItems', leaseId, jobId, indexes } as const;
+      const answer = (await this.options.control.proposeJob(group, command)) as StartAnswer;
+      return items.filter(({ index }) => answer.started.includes(index));
+    } catch {
+      for (const index of indexes) {
+        const itemReturn = {
+          jobId,
+          index,
+          reason: 'notRun',
+          cause: 'start not confirmed',
+        } as const;
+        this.committer.addReturn(group, itemReturn);
+      }
+      return [];
+    }
+  }
+
   private rateOf(row: string): { items: number; perSecond: number } {
     const known = this.rates.get(row);
     if (known !== undefined) return known;
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -113,7 +113,7 @@
     const body = await readJson(c, bodySchema, this.options.maxBodyBytes);
     checkCompletionBody(body, path);
     this.options.checkServing();
-    const row = this.findRow(c.req.header(SERVICE_HEADER) ?? body.model ?? '', workspace);
+    const row = await this.findRow(c.req.header(SERVICE_HEADER) ?? body.model ?? '', workspace);
     const session = this.sessionOf(c.req.header(SESSION_HEADER), row);
     const model = row.models.includes(body.model ?? '') ? body.model : row.models[0];
     const request = {
@@ -129,11 +129,11 @@
     return { body, row, session, request, path };
   }
 
-  private findRow(name: string, workspace: string): ServiceRow {
+  private async findRow(name: string, workspace: string): Promise<ServiceRow> {
     const parts = name.split('/');
     const service = parts.at(-1) ?? '';
     const named = parts.length > 1 ? parts[0] : workspace;
-    const row = this.options.context.fleet.table.row(`${workspace}/${service}`);
+    const row = await this.options.context.reader.row(`${workspace}/${service}`);
     if (row?.kind === 'engine' && named === workspace) return row;
     throw notFound(
       `there is no generating service ${name}; name it as model "${workspace}/SERVICE" ` +
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -28,8 +28,8 @@
 import { OperatorApi } from './operator-api.js';
 import { createRoutes } from './routes.js';
 import { ServiceCalls } from './service-calls.js';
+import { TableReader } from './table-reader.js';
 
-const REFRESH_TIMEOUT_MS = 2000;
 const CLEANUP_INTERVAL_MS = 30_000;
 const POLL_MS = 20;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -65,15 +65,13 @@
   private readonly peers: EntryPeers;
   private readonly desk: AdmissionDesk;
   private readonly driver = new OpenAiDriver();
+  private readonly reader: TableReader;
   private server: ServerType | undefined;
   private url = '';
   private draining = false;
   private openRequests = 0;
   private requestCount = 0;
-  private refreshedAtMs = -Infinity;
-  private others: readonly EntryStatus[] = [];
   private timers: NodeJS.Timeout[] = [];
-  private refreshing = false;
   private drained: Promise<void> | undefined;
 
   constructor(options: EntryNodeOptions) {
@@ -90,6 +88,14 @@
       random: this.random,
       ...(options.strategy === undefined ? {} : { strategy: options.strategy }),
     });
+    this.reader = new TableReader({
+      control: this.control,
+      table: this.fleet.table,
+      logger: this.logger,
+      staleAfterMs: this.entry.staleAfterMs,
+      nowMs: this.nowMs,
+      ownStatus: () => this.ownStatus(),
+    });
     this.peers = new EntryPeers({
       settings: this.settings,
       entry: this.entry,
@@ -120,7 +126,7 @@
     await this.peers.start(this.desk.limits);
     this.batch.start();
     this.every(this.entry.tableRefreshIntervalMs, () => {
-      void this.refresh();
+      void this.reader.refresh();
     });
     this.every(CLEANUP_INTERVAL_MS, () => {
       this.fleet.forgetGone(this.nowMs());
@@ -152,7 +158,7 @@
     this.logger.info('draining', { step: 'drain' });
     const batchDrained = this.batch.drain(this.entry.drainTimeoutMs);
     this.peers.handOverSessions();
-    await this.refresh();
+    await this.reader.refresh();
     if (this.hasOtherEntries()) await pause(this.entry.keepForMs + DRAIN_NEWS_MS);
     const server = this.server as Server | undefined;
     server?.close();
@@ -165,7 +171,9 @@
   }
 
   private hasOtherEntries(): boolean {
-    return this.others.some((status) => status.entry !== this.settings.name && !status.draining);
+    return this.reader.entries.some(
+      (status) => status.entry !== this.settings.name && !status.draining,
+    );
   }
 
   private createBatch(): BatchRunner {
@@ -190,6 +198,7 @@
   private createContext(): OnlineContext {
     return {
       fleet: this.fleet,
+      reader: this.reader,
       desk: this.desk,
       driver: this.driver,
       logger: this.logger,
@@ -234,16 +243,17 @@
         this.checkServing();
       },
     });
-    const { control, fleet } = this;
+    const { control, fleet, reader } = this;
     const { maxChunkBytes, maxItemBytes } = this.entry;
     const routes = createRoutes({
       authenticator: new Authenticator(this.settings.tokens),
       completions,
       serviceCalls: this.createServiceCalls(),
-      jobs: new JobsApi({ control, fleet, maxChunkBytes, maxItemBytes }),
-      operator: new OperatorApi({ control, fleet }),
+      jobs: new JobsApi({ control, reader, maxChunkBytes, maxItemBytes }),
+      operator: new OperatorApi({ control, fleet, reader }),
       sessionSecret: this.settings.instanceSecret,
       fleet,
+      reader,
       takeAnnouncement: (announcement) => {
         this.takeAnnouncement(announcement);
       },
@@ -296,26 +306,9 @@
 
   /** A fresh entry serves nothing before a quorum has told it the table. */
   private async firstRefresh(): Promise<void> {
-    while (this.refreshedAtMs === -Infinity) {
-      await this.refresh();
-      if (this.refreshedAtMs === -Infinity) await pause(POLL_MS);
-    }
-  }
-
-  private async refresh(): Promise<void> {
-    if (this.refreshing) return;
-    this.refreshing = true;
-    const askedAtMs = this.nowMs();
-    try {
-      const answer = await this.control.refresh(this.ownStatus(), REFRESH_TIMEOUT_MS);
-      this.fleet.table.apply(answer.delta);
-      this.others = answer.entries;
-      this.refreshedAtMs = askedAtMs;
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      this.logger.debug('table not refreshed', { step: 'refresh', reason });
-    } finally {
-      this.refreshing = false;
+    while (!this.reader.hasRead) {
+      await this.reader.refresh();
+      if (!this.reader.hasRead) await pause(POLL_MS);
     }
   }
 
@@ -330,17 +323,13 @@
     };
   }
 
-  private isFresh(): boolean {
-    return this.nowMs() - this.refreshedAtMs < this.entry.staleAfterMs;
-  }
-
   /**
    * An entry whose table is old takes no work while it knows of entries that are not cut
    * off. If none is left, the fleet has no quorum, nothing can be accepted, and the table
    * that it has is the one in force: it goes on.
    */
   private checkServing(): void {
-    if (this.isFresh()) return;
+    if (this.reader.isFresh) return;
     const reachable = this.peers.liveEntries().length;
     const known = this.entry.peers.length;
     if (known <= 1 || reachable > known / 2) return;
@@ -359,7 +348,7 @@
     readonly session?: string;
   }): unknown {
     const live = new Set(this.peers.liveEntries());
-    const others = this.others.filter(
+    const others = this.reader.entries.filter(
       (status) => status.entry !== this.settings.name && live.has(status.entry),
     );
     const candidates = [this.ownStatus(), ...others].map((status): AddressCandidate => ({
@@ -367,7 +356,7 @@
       url: status.url,
       availabilityZone: status.availabilityZone,
       draining: status.draining,
-      fresh: status.entry === this.settings.name ? this.isFresh() : true,
+      fresh: status.entry === this.settings.name ? this.reader.isFresh : true,
       load: status.load,
     }));
     const chosen = chooseAddresses({ candidates, random: this.random, ...query });
@@ -394,12 +383,12 @@
     return {
       instance: this.settings.name,
       revision: this.fleet.table.revision,
-      fresh: this.isFresh(),
+      fresh: this.reader.isFresh,
       draining: this.draining,
       openRequests: this.openRequests,
       batchStreams: this.batch.running,
       latencies: this.latencies.summaries(),
-      entries: this.others,
+      entries: this.reader.entries,
       liveEntries: this.peers.liveEntries(),
       endpoints,
       control: await this.control.statuses(),
--- a/packages/entry/src/held-items.ts
+++ b/packages/entry/src/held-items.ts
@@ -35,6 +35,7 @@
   /** Takes granted leases. */
   add(group: number, leases: readonly ItemLease[], nowMs: number): void {
     for (const lease of leases) {
+      if (lease.items.length === 0) continue;
       const open = new Set(lease.items.map((item) => item.index));
       this.leases.set(leaseKey(group, lease.leaseId), { group, lease, open, renewedAtMs: nowMs });
       const row = `${lease.workspace}/${lease.service}`;
--- a/packages/entry/src/jobs-api.ts
+++ b/packages/entry/src/jobs-api.ts
@@ -9,10 +9,10 @@
 import { groupOfJobId, jobIdOf } from '@shedline/jobs';
 import type { JobAnswer, JobGroupAnswer, Refusal, ResultLine } from '@shedline/jobs';
 import type { JobView } from '@shedline/types';
-import type { FleetView } from './fleet-view.js';
 import { invalid, notFound, queryIndex, readBody, readJson } from './http-support.js';
 import type { EntryHttpContext } from './http-support.js';
 import { readItemParts } from './job-upload.js';
+import type { TableReader } from './table-reader.js';
 
 const createSchema = z.strictObject({
   service: z.string().min(1),
@@ -28,7 +28,7 @@
 /** What the handlers need. */
 export interface JobsApiOptions {
   readonly control: ControlClient;
-  readonly fleet: FleetView;
+  readonly reader: TableReader;
   readonly maxChunkBytes: number;
   readonly maxItemBytes: number;
 }
@@ -45,7 +45,7 @@
   async create(c: EntryHttpContext, workspace: string): Promise<Response> {
     const body = await readJson(c, createSchema, SMALL_BODY_BYTES);
     const service = this.serviceOf(body.service, workspace);
-    const row = this.options.fleet.table.row(`${workspace}/${service}`);
+    const row = await this.options.reader.row(`${workspace}/${service}`);
     if (row === undefined) throw notFound(`service: there is no service ${body.service}`);
     const { control } = this.options;
     const { jobKey, dueAtMs } = body;
--- a/packages/entry/src/online-run.ts
+++ b/packages/entry/src/online-run.ts
@@ -14,10 +14,12 @@
 import type { Usage } from './answer-check.js';
 import type { EndpointDriver, GenerateOutcome } from './endpoint-driver.js';
 import type { FleetView } from './fleet-view.js';
+import type { TableReader } from './table-reader.js';
 
 /** What runs need of their entry. */
 export interface OnlineContext {
   readonly fleet: FleetView;
+  readonly reader: TableReader;
   readonly desk: AdmissionDesk;
   readonly driver: EndpointDriver;
   readonly logger: Logger;
--- a/packages/entry/src/operator-api.ts
+++ b/packages/entry/src/operator-api.ts
@@ -11,6 +11,7 @@
 import type { FleetView } from './fleet-view.js';
 import { checkValue, invalid, notFound, parseJson, readBody, readJson } from './http-support.js';
 import type { EntryHttpContext } from './http-support.js';
+import type { TableReader } from './table-reader.js';
 
 const MAX_TABLE_BYTES = 16 * 1024 * 1024;
 
@@ -31,6 +32,7 @@
 export interface OperatorApiOptions {
   readonly control: ControlClient;
   readonly fleet: FleetView;
+  readonly reader: TableReader;
 }
 
 /** Handlers of operators' calls. */
@@ -130,7 +132,11 @@
     );
     const contentHash = sha256Hex(JSON.stringify(content));
     const answer = await this.options.control.proposeEdit({ ...command, editId, contentHash });
-    if (answer.outcome === 'accepted') return answer;
+    if (answer.outcome === 'accepted') {
+      // The operator's next call through this entry sees the edit.
+      await this.options.reader.reach(answer.revision);
+      return answer;
+    }
     throw editRefused(answer);
   }
 }
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -21,6 +21,7 @@
 import type { OperatorApi } from './operator-api.js';
 import type { ServiceCalls } from './service-calls.js';
 import { openSession, readSession } from './sessions.js';
+import type { TableReader } from './table-reader.js';
 
 const sessionSchema = z.strictObject({ service: z.string().min(1) });
 const SMALL_BODY_BYTES = 16 * 1024;
@@ -34,6 +35,7 @@
   readonly operator: OperatorApi;
   readonly sessionSecret: string;
   readonly fleet: FleetView;
+  readonly reader: TableReader;
   readonly takeAnnouncement: (announcement: Announcement) => void;
   readonly addresses: (query: { availabilityZone?: string; session?: string }) => unknown;
   readonly status: () => Promise<unknown>;
@@ -111,7 +113,7 @@
 
 function addCallerRoutes(app: Hono<{ Bindings: HttpBindings }>, options: RoutesOptions): void {
   const { completions, serviceCalls } = options;
-  app.get('/v1/addresses', (c) => c.json(addressesFor(options, c) as object));
+  app.get('/v1/addresses', async (c) => c.json((await addressesFor(options, c)) as object));
   app.post(
     '/v1/chat/completions',
     forCaller(options, (c, workspace) => completions.handle(c, workspace, '/v1/chat/completions')),
@@ -138,10 +140,10 @@
   app.all('/v1/services/:service/*', call);
 }
 
-function addressesFor(options: RoutesOptions, c: EntryHttpContext): unknown {
+async function addressesFor(options: RoutesOptions, c: EntryHttpContext): Promise<unknown> {
   const workspace = options.authenticator.requireCaller(c.req.header('authorization'));
   const name = c.req.query('service');
-  if (name !== undefined) findOwnRow(options, name, workspace);
+  if (name !== undefined) await findOwnRow(options, name, workspace);
   const availabilityZone = c.req.query('availabilityZone');
   const session = c.req.query('session');
   return options.addresses({
@@ -150,9 +152,13 @@
   });
 }
 
-function findOwnRow(options: RoutesOptions, name: string, workspace: string): string {
+async function findOwnRow(
+  options: RoutesOptions,
+  name: string,
+  workspace: string,
+): Promise<string> {
   const service = name.startsWith(`${workspace}/`) ? name.slice(workspace.length + 1) : name;
-  const row = options.fleet.table.row(rowKey(workspace, service));
+  const row = await options.reader.row(rowKey(workspace, service));
   if (row === undefined) throw notFound(`service: there is no service ${name}`);
   return service;
 }
@@ -163,7 +169,7 @@
   workspace: string,
 ): Promise<Response> {
   const { service: name } = await readJson(c, sessionSchema, SMALL_BODY_BYTES);
-  const service = findOwnRow(options, name, workspace);
+  const service = await findOwnRow(options, name, workspace);
   const session = openSession(options.sessionSecret, workspace, service);
   return c.json({ session, service: `${workspace}/${service}` }, 201);
 }
--- a/packages/entry/src/service-calls.ts
+++ b/packages/entry/src/service-calls.ts
@@ -97,7 +97,7 @@
   private async prepare(c: EntryHttpContext, workspace: string): Promise<PreparedCall> {
     this.options.checkServing();
     const service = c.req.param('service') ?? '';
-    const row = this.options.context.fleet.table.row(rowKey(workspace, service));
+    const row = await this.options.context.reader.row(rowKey(workspace, service));
     if (row?.kind !== 'plain') throw notFound(`there is no plain service ${service}`);
     const body = await readBody(c.env.incoming, this.options.maxBodyBytes);
     const { method } = c.req;
