--- a/packages/entry/src/online-run.ts
+++ b/packages/entry/src/online-run.ts
@@ -179,6 +179,9 @@
     latencies.record(this.service, 'online', 'firstToken', latencyMs);
     burn.record(this.service, 'firstToken', latencyMs <= row.targets.firstTokenMs, nowMs);
     fleet.endpoints.succeeded(endpointId, latencyMs, nowMs);
+    fleet.prefixes.note(endpointId, this.prefixes);
+    const { sessionId } = this.request;
+    if (sessionId !== undefined) fleet.noteSession(sessionId, endpointId);
     fleet.limitOf(endpointId, row).sample(latencyMs, fleet.loads.online(endpointId, nowMs));
   }
 
--- a/packages/test-utils/src/process-fleet.ts
+++ b/packages/test-utils/src/process-fleet.ts
@@ -224,7 +224,7 @@
 }
 
 /** Ports that were free a moment ago; all are held until the last one is found. */
-async function freePorts(count: number): Promise<number[]> {
+export async function freePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
