Measure control, overhead, routing and slopes; mend calls to instances that are down

Cause: after a kill of the leader no edit passed for 3074 ms (median of 3, worst 6163), after a planned stop 4875 (worst 7804), though an election takes 1 to 2 s and a transfer far less. Ruled out: the election itself (the log shows a leader within the time-out). The client waited up to 3 s for a connection to the instance that was gone. Change: a call goes to an instance whose connection is up; hints that name another are not followed.

--- /dev/null
+++ b/bench/src/slopes.ts
@@ -0,0 +1,374 @@
+/**
+ * Slopes for docs/CAPACITY.md: cost of each mechanism at three or more sizes.
+ * `node bench/dist/slopes.js [watchers|beats|routing|membership|quota|prefixes|table|idle]`.
+ */
+import { fileURLToPath } from 'node:url';
+import { pack, unpack } from 'msgpackr';
+import { QuotaOwner } from '@shedline/admission';
+import { RemoteControlPort } from '@shedline/control-client';
+import type { RefreshAnswer } from '@shedline/control-client';
+import { EndpointDirectory, EntryMembership } from '@shedline/directory';
+import type { OutgoingMessage } from '@shedline/directory';
+import { FleetView } from '@shedline/entry';
+import { PrefixIndex } from '@shedline/routing';
+import { Table } from '@shedline/table';
+import { ProcessFleet, seededRandom } from '@shedline/test-utils';
+import { DEFAULT_ROW_FIELDS } from '@shedline/types';
+import type { Announcement, ServiceRow } from '@shedline/types';
+import { cpuSeconds, memoryMiB } from './support/bench-fleet.js';
+import { pause, report } from './support/report.js';
+import type { ResultRow } from './support/report.js';
+
+const BIN = fileURLToPath(new URL('../../packages/cli/dist/bin.js', import.meta.url));
+
+function announcement(number: number, sequence = 1): Announcement {
+  return {
+    endpointId: `engine-${number}`,
+    incarnation: 1,
+    sequence,
+    url: `http://10.1.${number >> 8}.${number & 255}:8000`,
+    availabilityZone: 'zone-1',
+    kind: 'engine',
+    models: ['model-8b'],
+    services: [],
+    load: { running: 9, waiting: 1, capacity: 32 },
+    checksFencing: true,
+    leaving: false,
+  };
+}
+
+function microseconds(times: number, work: (n: number) => void): number {
+  for (let n = 0; n < times / 10; n += 1) work(n);
+  const startedMs = performance.now();
+  for (let n = 0; n < times; n += 1) work(n);
+  return ((performance.now() - startedMs) * 1000) / times;
+}
+
+function heapMiB(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1024 / 1024;
+}
+
+/** Looks of entries at the table: processor time of the leader and bytes of an entry. */
+async function watchers(): Promise<ResultRow[]> {
+  const rows: ResultRow[] = [];
+  for (const [count, editsPerSecond] of [
+    [10, 0.3],
+    [100, 0.3],
+    [300, 0.3],
+    [100, 3],
+    [100, 30],
+  ] as const) {
+    const fleet = await ProcessFleet.create({
+      bin: BIN,
+      controls: 1,
+      entries: 0,
+      control: { jobGroupCount: 1, voterCount: 1 },
+    });
+    await fleet.startAll();
+    const peer = fleet.controlPeers[0];
+    if (peer === undefined) throw new Error('the fleet has a control instance');
+    const ports = Array.from(
+      { length: count },
+      (_, n) => new RemoteControlPort({ name: `entry-${n}`, secret: fleet.secret, peer }),
+    );
+    let received = 0;
+    let looks = 0;
+    const revisions = new Array<number>(count).fill(-1);
+    const timers = ports.map((port, n) =>
+      setInterval(() => {
+        const status = {
+          entry: `entry-${n}`,
+          url: 'http://10.0.0.1:7400',
+          availabilityZone: 'z',
+          revision: revisions[n] ?? -1,
+          draining: false,
+          load: 0.5,
+        };
+        void port
+          .call('refresh', status, 2000)
+          .then((answer) => {
+            revisions[n] = (answer as RefreshAnswer).delta.revision;
+            looks += 1;
+            received += pack(answer).length;
+          })
+          .catch(() => undefined);
+      }, 500),
+    );
+    const editor = new RemoteControlPort({ name: 'editor', secret: fleet.secret, peer });
+    let edits = 0;
+    const editing = setInterval(() => {
+      edits += 1;
+      const command = {
+        type: 'editRow',
+        editId: `e${edits}`,
+        contentHash: `e${edits}`,
+        expectedRevision: 1e9,
+        workspace: 'w',
+        service: `s${edits % 50}`,
+        change: { kind: 'plain' },
+      };
+      void editor
+        .call(
+          'propose',
+          { group: 0, command: { ...command, expectedRevision: Math.max(0, ...revisions) } },
+          2000,
+        )
+        .catch(() => undefined);
+    }, 1000 / editsPerSecond);
+    await pause(3000);
+    const pid = fleet.pid('control-1');
+    const before = await cpuSeconds(pid);
+    received = 0;
+    looks = 0;
+    await pause(5000);
+    const cpu = (await cpuSeconds(pid)) - before;
+    rows.push({
+      entries: count,
+      'edits/s': editsPerSecond,
+      'leader % of a core': cpu * 20,
+      'us per look': (cpu * 1e6) / Math.max(1, looks),
+      'B/s to an entry': received / 5 / count,
+      'leader MiB': await memoryMiB(pid),
+    });
+    for (const timer of [...timers, editing]) clearInterval(timer);
+    for (const port of [...ports, editor]) port.close();
+    await fleet.close();
+  }
+  return rows;
+}
+
+/** Heartbeats of endpoints at an entry. */
+function beats(): ResultRow[] {
+  return [100, 400, 1600].map((count) => {
+    const before = heapMiB();
+    const directory = new EndpointDirectory();
+    for (let n = 0; n < count; n += 1) directory.observe(announcement(n), 0, 0);
+    const heap = heapMiB() - before;
+    const whole = pack([[announcement(7), 3]]).length;
+    const short = pack([['engine-7', 1, 1234, 9, 1, 3]]).length;
+    let sequence = 2;
+    const beatUs = microseconds(20_000, (n) => {
+      sequence += 1;
+      const [endpointId, incarnation, , running, waiting] = unpack(
+        pack([`engine-${n % count}`, 1, sequence, 9, 1, 3]),
+      ) as [string, number, number, number, number];
+      directory.beat({ endpointId, incarnation, sequence, running, waiting }, 3, n);
+    });
+    return {
+      endpoints: count,
+      'us per heartbeat': beatUs,
+      'whole B': whole,
+      'short B': short,
+      'KiB per endpoint': (heap * 1024) / count,
+    };
+  });
+}
+
+/** Choice of an engine by the number of engines in a cell. */
+function routing(): ResultRow[] {
+  return [50, 200, 400, 1600].map((count) => {
+    const fleet = new FleetView({
+      availabilityZone: 'zone-1',
+      endpointLeaseMs: 1e9,
+      random: seededRandom(1),
+    });
+    for (let n = 0; n < count; n += 1) fleet.observe(announcement(n), 0, 0);
+    const row: ServiceRow = {
+      ...DEFAULT_ROW_FIELDS,
+      workspace: 'w',
+      service: 's',
+      revision: 1,
+      models: ['model-8b'],
+    };
+    const prefixes = ['a', 'b', 'c'];
+    fleet.prefixes.note('engine-3', prefixes);
+    const query = { row, prefixes, sessionId: undefined, excluded: new Set<string>() };
+    const routeUs = microseconds(1000, () => {
+      fleet.route(query, 10_000);
+    });
+    const gateUs = microseconds(1000, () => {
+      fleet.pressure(row, 10_000);
+    });
+    return {
+      'engines in the cell': count,
+      'us per choice': routeUs,
+      'us per look at the load': gateUs,
+    };
+  });
+}
+
+/** Failure detection among entries. */
+function membership(): ResultRow[] {
+  return [12, 90, 360].map((count) => {
+    const names = Array.from({ length: count }, (_, n) => `entry-${n}`);
+    const random = seededRandom(3);
+    const members = new Map(
+      names.map((self) => [self, new EntryMembership({ self, peers: names, random })]),
+    );
+    let bytes = 0;
+    let messages = 0;
+    let nowMs = 0;
+    const dispatch = (out: readonly OutgoingMessage[]): void => {
+      for (const { to, message } of out) {
+        messages += 1;
+        bytes += pack(message).length;
+        dispatch(members.get(to)?.receive(message, nowMs) ?? []);
+      }
+    };
+    const startedMs = performance.now();
+    for (; nowMs < 30_000; nowMs += 100)
+      for (const member of members.values()) dispatch(member.tick(nowMs));
+    const cpuMs = performance.now() - startedMs;
+    return {
+      entries: count,
+      'messages/s an entry': messages / count / 30,
+      'B/s an entry': bytes / count / 30,
+      '% of a core an entry': (cpuMs / 30_000 / count) * 100,
+    };
+  });
+}
+
+/** Leases of limits at the owner. */
+function quota(): ResultRow[] {
+  return [12, 90, 360].map((count) => {
+    const owner = new QuotaOwner({ entryCount: count, epoch: 'o' });
+    const tokens = new Map<string, { ownerEpoch: string; atMs: number }>();
+    let nowMs = 0;
+    const ask = (n: number): void => {
+      const entry = `entry-${n % count}`;
+      if (n % count === 0) nowMs += 200;
+      const token = tokens.get(entry);
+      const question = {
+        entry,
+        row: `w/s${n % 30}|x`,
+        demand: 5,
+        limit: 100,
+        revision: 1,
+        ...(token ? { token } : {}),
+      };
+      tokens.set(entry, owner.ask(question, nowMs).token);
+    };
+    const askUs = microseconds(20_000, ask);
+    const askBytes = pack([
+      {
+        entry: 'entry-12',
+        row: 'workspace/service|tokensPerSecond',
+        demand: 5,
+        limit: 100,
+        revision: 1,
+        token: { ownerEpoch: 'abcdefabcdef', atMs: 12345.6 },
+      },
+    ]).length;
+    return { entries: count, 'us per ask': askUs, 'B per ask': askBytes };
+  });
+}
+
+/** Memory of what an entry remembers of prefixes, and time to look one up. */
+function prefixes(): ResultRow[] {
+  return [5000, 20_000, 50_000].map((count) => {
+    const before = heapMiB();
+    const index = new PrefixIndex({ maxPrefixes: count });
+    for (let n = 0; n < count; n += 1)
+      index.note(`engine-${n % 400}`, [`prefix-${n.toString(36)}`]);
+    const heap = heapMiB() - before;
+    const prompt = Array.from({ length: 32 }, (_, n) => `prefix-${(n * 17).toString(36)}`);
+    return {
+      prefixes: count,
+      MiB: heap,
+      'B per prefix': (heap * 1024 * 1024) / count,
+      'us per look-up of 32': microseconds(5000, () => {
+        index.matches(prompt);
+      }),
+    };
+  });
+}
+
+/** The table of many rows. */
+function table(): ResultRow[] {
+  return [200, 2100, 10_000].map((count) => {
+    const before = heapMiB();
+    const state = new Table();
+    const rows = Array.from({ length: count }, (_, n) => ({
+      workspace: `w${n}`,
+      service: 's',
+      change: { kind: 'plain' as const },
+    }));
+    state.apply({
+      type: 'replaceTable',
+      editId: 'a',
+      contentHash: 'a',
+      expectedRevision: 0,
+      models: [],
+      rows,
+    });
+    const heap = heapMiB() - before;
+    let n = 0;
+    const editUs = microseconds(2000, () => {
+      n += 1;
+      state.apply({
+        type: 'editRow',
+        editId: `e${n}`,
+        contentHash: `e${n}`,
+        expectedRevision: state.revision,
+        workspace: `w${n % count}`,
+        service: 's',
+        change: { weight: 1 + (n % 9) },
+      });
+    });
+    return {
+      rows: count,
+      MiB: heap,
+      'us per edit': editUs,
+      'snapshot KiB': state.snapshot().length / 1024,
+      'delta of one edit B': pack(state.deltaSince(state.revision - 1)).length,
+    };
+  });
+}
+
+/** Whole daemons that do nothing but keep up with each other. */
+async function idle(): Promise<ResultRow[]> {
+  const rows: ResultRow[] = [];
+  for (const entries of [3, 6, 12]) {
+    const fleet = await ProcessFleet.create({
+      bin: BIN,
+      controls: 3,
+      entries,
+      control: { jobGroupCount: 4, voterCount: 3 },
+    });
+    await fleet.startAll();
+    await pause(4000);
+    const pids = [...fleet.controls, ...fleet.entries].map(({ name }) => fleet.pid(name));
+    const before = await Promise.all(pids.map(cpuSeconds));
+    await pause(6000);
+    const after = await Promise.all(pids.map(cpuSeconds));
+    const shares = after.map((seconds, n) => ((seconds - (before[n] ?? 0)) / 6) * 100);
+    const mean = (values: readonly number[]): number =>
+      values.reduce((a, b) => a + b, 0) / values.length;
+    rows.push({
+      entries,
+      'control % of a core': mean(shares.slice(0, 3)),
+      'entry % of a core': mean(shares.slice(3)),
+      'control MiB': await memoryMiB(pids[0] ?? 0),
+      'entry MiB': await memoryMiB(pids[3] ?? 0),
+    });
+    await fleet.close();
+  }
+  return rows;
+}
+
+const parts: Record<string, () => ResultRow[] | Promise<ResultRow[]>> = {
+  beats,
+  routing,
+  membership,
+  quota,
+  prefixes,
+  table,
+  watchers,
+  idle,
+};
+const wanted = process.argv.slice(2);
+for (const [name, part] of Object.entries(parts)) {
+  if (wanted.length === 0 || wanted.includes(name)) await report(`slopes-${name}`, await part());
+}
+process.exit(0);
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -13,7 +13,12 @@
 const durationMs = (defaultMs: number, text: string): z.ZodDefault<z.ZodNumber> =>
   z.number().positive().default(defaultMs).describe(`${text} Milliseconds.`);
 
-const peerSchema = z.strictObject({ name, host, port });
+const peerSchema = z.strictObject({
+  name,
+  host,
+  port,
+  availabilityZone: z.string().min(1).optional().describe('Availability zone of the peer.'),
+});
 
 const tokenSchema = z.strictObject({
   role: z.enum(['caller', 'operator', 'endpoint']).describe('What the token may do.'),
--- a/packages/control-client/src/control-client.ts
+++ b/packages/control-client/src/control-client.ts
@@ -183,8 +183,11 @@
 
   private portFor(group: number): ControlPort {
     const leader = this.leaders.get(group);
-    const known = this.ports.find((port) => port.name === leader);
-    const port = known ?? this.ports[this.nextPort % this.ports.length];
+    // A call to an instance that is down would wait for it; the others know who leads now.
+    const ready = this.ports.filter((port) => port.isReady);
+    const usable = ready.length > 0 ? ready : this.ports;
+    const known = usable.find((port) => port.name === leader);
+    const port = known ?? usable[this.nextPort % usable.length];
     if (port === undefined) {
       const message = 'no control instance is configured; set entry.controls';
       throw new ShedlineError({ type: 'unavailable', message, step: 'call control' });
@@ -196,8 +199,8 @@
   private follow(group: number, failure: ShedlineError): boolean {
     const before = this.leaders.get(group);
     const leader = failure.details?.leader;
-    const named = typeof leader === 'string' && this.ports.some((port) => port.name === leader);
-    if (named && leader !== before) {
+    const named = this.ports.some((port) => port.name === leader && port.isReady);
+    if (typeof leader === 'string' && named && leader !== before) {
       this.leaders.set(group, leader);
       return true;
     }
--- a/packages/control-client/src/protocol.ts
+++ b/packages/control-client/src/protocol.ts
@@ -78,6 +78,8 @@
 /** Anything that answers control requests: a connection or the instance itself. */
 export interface ControlPort {
   readonly name: string;
+  /** Whether a call would go out now. */
+  readonly isReady: boolean;
   call(method: ControlMethod, payload: unknown, timeoutMs: number): Promise<unknown>;
   close(): void;
 }
--- a/packages/control-client/src/remote-port.ts
+++ b/packages/control-client/src/remote-port.ts
@@ -28,6 +28,11 @@
     });
   }
 
+  /** Whether the connection is up. */
+  get isReady(): boolean {
+    return this.client.isReady;
+  }
+
   /** Bytes sent to the instance so far. */
   get sentBytes(): number {
     return this.client.sentBytes;
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -112,6 +112,7 @@
     });
     this.port = {
       name: this.settings.name,
+      isReady: true,
       call: (method, payload) => this.onRequest(method, payload),
       close: () => undefined,
     };
--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -35,6 +35,15 @@
   slowFactor: 4,
 };
 
+/** The short form of a heartbeat. */
+export interface Heartbeat {
+  readonly endpointId: string;
+  readonly incarnation: number;
+  readonly sequence: number;
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** An endpoint as an entry knows it. */
 export interface KnownEndpoint {
   readonly announcement: Announcement;
@@ -88,6 +97,17 @@
     return true;
   }
 
+  /**
+   * Takes the short form of a heartbeat, which tells only what changes from one to the next.
+   * False where something newer, or not this incarnation, is known.
+   */
+  beat(beat: Heartbeat, ageMs: number, nowMs: number): boolean {
+    const known = this.entries.get(beat.endpointId)?.announcement;
+    if (known?.incarnation !== beat.incarnation) return false;
+    const load = { running: beat.running, waiting: beat.waiting, capacity: known.load.capacity };
+    return this.observe({ ...known, sequence: beat.sequence, load }, ageMs, nowMs);
+  }
+
   /** An endpoint by id. */
   get(endpointId: string): KnownEndpoint | undefined {
     return this.entries.get(endpointId);
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -37,6 +37,8 @@
 
 type Path = OnlineRequest['path'];
 
+const CALLER_GONE = new Error('the caller went away');
+
 /** What the handlers need. */
 export interface CompletionsOptions {
   readonly context: OnlineContext;
@@ -93,7 +95,7 @@
     const { outgoing } = c.env;
     const abort = new AbortController();
     outgoing.on('close', () => {
-      abort.abort();
+      if (!outgoing.writableFinished) abort.abort(CALLER_GONE);
     });
     const key = c.req.header('idempotency-key');
     if (!prepared.request.idempotent && key !== undefined) {
--- a/packages/entry/src/endpoint-driver.ts
+++ b/packages/entry/src/endpoint-driver.ts
@@ -22,7 +22,10 @@
   /** Tokens of an interrupted answer to go on from. */
   readonly resumeTokens: readonly string[];
   readonly lane: Lane;
+  /** Aborted when the caller goes away or the work has to yield. */
   readonly signal: AbortSignal;
+  /** Time left for the whole answer. */
+  readonly deadlineMs: number;
   readonly firstTokenTimeoutMs: number;
   readonly stallTimeoutMs: number;
   readonly onToken: (text: string) => void;
@@ -73,6 +76,7 @@
 }
 
 const CONNECT_TIMEOUT_MS = 500;
+const ABORT_REASON = new Error('the request was ended by this entry');
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Errors that come before the first byte of a request goes out. */
 const NOT_SENT_CODES = new Set([
@@ -188,25 +192,21 @@
   }
 }
 
-/** Ends a request whose engine has fallen silent. */
+/** Ends a request whose engine has fallen silent, whose time is up, or whose caller has gone. */
 class StallWatch {
   stalled = false;
   private readonly controller = new AbortController();
   private readonly options: GenerateOptions;
-  private readonly onCallerAbort: () => void;
-  private timer: NodeJS.Timeout;
+  private readonly deadlineTimer: NodeJS.Timeout;
+  private silenceTimer: NodeJS.Timeout;
   private streaming = false;
 
   constructor(options: GenerateOptions) {
     this.options = options;
-    this.onCallerAbort = () => {
-      this.controller.abort();
-    };
-    options.signal.addEventListener('abort', this.onCallerAbort, { once: true });
-    if (options.signal.aborted) this.controller.abort();
-    this.timer = setTimeout(() => {
-      this.stall();
-    }, options.firstTokenTimeoutMs);
+    options.signal.addEventListener('abort', this.abortQuietly, { once: true });
+    if (options.signal.aborted) this.abortQuietly();
+    this.deadlineTimer = setTimeout(this.abortQuietly, options.deadlineMs);
+    this.silenceTimer = setTimeout(this.stall, options.firstTokenTimeoutMs);
   }
 
   get signal(): AbortSignal {
@@ -216,30 +216,34 @@
   /** Notes that a token came. */
   alive(): void {
     if (this.streaming) {
-      this.timer.refresh();
+      this.silenceTimer.refresh();
       return;
     }
     this.streaming = true;
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => {
-      this.stall();
-    }, this.options.stallTimeoutMs);
+    clearTimeout(this.silenceTimer);
+    this.silenceTimer = setTimeout(this.stall, this.options.stallTimeoutMs);
   }
 
   abort(): void {
     this.end();
-    this.controller.abort();
+    this.abortQuietly();
   }
 
   end(): void {
-    clearTimeout(this.timer);
-    this.options.signal.removeEventListener('abort', this.onCallerAbort);
+    clearTimeout(this.silenceTimer);
+    clearTimeout(this.deadlineTimer);
+    this.options.signal.removeEventListener('abort', this.abortQuietly);
   }
 
-  private stall(): void {
+  /** A ready-made reason spares the making of one with a stack. */
+  private readonly abortQuietly = (): void => {
+    this.controller.abort(ABORT_REASON);
+  };
+
+  private readonly stall = (): void => {
     this.stalled = true;
-    this.controller.abort();
-  }
+    this.abortQuietly();
+  };
 }
 
 function readStream(
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -95,6 +95,7 @@
       staleAfterMs: this.entry.staleAfterMs,
       nowMs: this.nowMs,
       ownStatus: () => this.ownStatus(),
+      askPeer: (fromRevision) => this.peers.askTable(fromRevision),
     });
     this.peers = new EntryPeers({
       settings: this.settings,
@@ -105,6 +106,7 @@
       random: this.random,
       nowMs: this.nowMs,
       epoch: this.epoch,
+      tableForPeer: (fromRevision) => this.reader.tableForPeer(fromRevision),
       onYield: (endpointId) => {
         this.batch.yieldAt(endpointId);
       },
@@ -190,7 +192,7 @@
       dial: this.entry.batchDial,
       random: this.random,
       nowMs: this.nowMs,
-      liveEntries: () => this.peers.liveEntries(),
+      liveEntries: () => this.peers.liveCell(),
       nextRequestId: () => this.nextRequestId(),
     });
   }
@@ -301,15 +303,12 @@
   }
 
   private takeAnnouncement(announcement: Announcement): void {
-    if (this.fleet.observe(announcement, 0, this.nowMs())) this.peers.spread(announcement);
+    this.peers.announced(announcement);
   }
 
   /** A fresh entry serves nothing before a quorum has told it the table. */
   private async firstRefresh(): Promise<void> {
-    while (!this.reader.hasRead) {
-      await this.reader.refresh();
-      if (!this.reader.hasRead) await pause(POLL_MS);
-    }
+    while (!(await this.reader.refresh())) await pause(POLL_MS);
   }
 
   private ownStatus(): EntryStatus {
@@ -324,9 +323,9 @@
   }
 
   /**
-   * An entry whose table is old takes no work while it knows of entries that are not cut
-   * off. If none is left, the fleet has no quorum, nothing can be accepted, and the table
-   * that it has is the one in force: it goes on.
+   * The table is old when neither control nor a peer with a young table could be reached. If
+   * most entries are within reach, they are no better off: the fleet has no quorum, nothing
+   * can be accepted, and this table is the one in force. Otherwise this entry is cut off.
    */
   private checkServing(): void {
     if (this.reader.isFresh) return;
--- a/packages/entry/src/entry-peers.ts
+++ b/packages/entry/src/entry-peers.ts
@@ -6,14 +6,17 @@
 import type { QuotaAnswer, QuotaAsk, RowLimits } from '@shedline/admission';
 import type { EntrySettings, Settings } from '@shedline/config';
 import { EntryMembership } from '@shedline/directory';
-import type { MembershipMessage, OutgoingMessage } from '@shedline/directory';
+import type { MembershipMessage, OutgoingMessage, PlacedEntry } from '@shedline/directory';
 import { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
 import type { BurnRecorder, BurnSeries } from '@shedline/metrics';
 import { PeerClient, PeerServer } from '@shedline/transport';
 import { rendezvousOrder } from '@shedline/types';
 import type { Announcement } from '@shedline/types';
+import { AnnouncementSpreader, heartbeatOf } from './announcement-spreader.js';
+import type { SpreadMessage } from './announcement-spreader.js';
 import type { FleetView } from './fleet-view.js';
+import type { PeerTable } from './table-reader.js';
 
 const MEMBERSHIP_TICK_MS = 100;
 const COUNTS_INTERVAL_MS = 250;
@@ -21,19 +24,12 @@
 const QUOTA_TIMEOUT_MS = 400;
 const SPREAD_INTERVAL_MS = 200;
 const BURN_TIMEOUT_MS = 1000;
+const TABLE_TIMEOUT_MS = 500;
+/** Peers asked for their table in one look. */
+const MAX_TABLE_ASKS = 3;
 /** A connection that was not used for this long is closed. */
 const IDLE_LINK_MS = 60_000;
 
-interface AgedAnnouncement {
-  readonly announcement: Announcement;
-  readonly ageMs: number;
-}
-
-interface HeldAnnouncement {
-  readonly announcement: Announcement;
-  readonly heardAtMs: number;
-}
-
 type CountsMessage = [string, number, number][];
 
 /** Options of {@link EntryPeers}. */
@@ -48,6 +44,7 @@
   /** Differs between any two processes. */
   readonly epoch: string;
   readonly onYield: (endpointId: string) => void;
+  readonly tableForPeer: (fromRevision: number) => PeerTable | undefined;
 }
 
 /** The other entries as one entry knows them. */
@@ -59,7 +56,7 @@
   private readonly owner: QuotaOwner;
   private readonly server: PeerServer;
   private readonly links = new Map<string, { client: PeerClient; usedAtMs: number }>();
-  private readonly toSpread = new Map<string, HeldAnnouncement>();
+  private readonly spreader: AnnouncementSpreader;
   private lastCounts = new Map<string, string>();
   private timers: NodeJS.Timeout[] = [];
   private limits: RowLimits | undefined;
@@ -77,6 +74,11 @@
       random: options.random,
       incarnation: Date.now(),
     });
+    this.spreader = new AnnouncementSpreader({
+      self: this.self,
+      cellSize: entry.observersPerEndpoint,
+      entries: placedEntries(settings, entry),
+    });
     this.owner = new QuotaOwner({ entryCount, epoch: options.epoch });
     this.holder = new QuotaHolder({ entryCount });
     this.server = new PeerServer({
@@ -126,10 +128,18 @@
     return this.membership.liveEntries();
   }
 
-  /** Passes an announcement on: at once where the endpoint leaves, else with the next round. */
-  spread(announcement: Announcement): void {
-    const held = { announcement, heardAtMs: this.options.nowMs() };
-    this.toSpread.set(announcement.endpointId, held);
+  /** Live entries that observe the same endpoints as this one, itself included. */
+  liveCell(): string[] {
+    const members = new Set(this.spreader.cellMembers);
+    return this.liveEntries().filter((name) => members.has(name) || name === this.self);
+  }
+
+  /** Takes an announcement from an endpoint; passes it on, at once where the endpoint leaves. */
+  announced(announcement: Announcement): void {
+    const nowMs = this.options.nowMs();
+    const observes = this.spreader.observes(announcement);
+    if (observes && !this.options.fleet.observe(announcement, 0, nowMs)) return;
+    this.spreader.add(announcement, nowMs);
     if (announcement.leaving) this.spreadAnnouncements();
   }
 
@@ -163,6 +173,20 @@
     return [...own, ...(await Promise.all(others)).flatMap((series) => series ?? [])];
   }
 
+  /** The table of some peer that has reached control lately. */
+  async askTable(fromRevision: number): Promise<PeerTable | undefined> {
+    const order = this.otherEntries().sort(() => this.options.random() - 0.5);
+    for (const peer of order.slice(0, MAX_TABLE_ASKS)) {
+      try {
+        const answer = await this.linkTo(peer)?.request('table', fromRevision, TABLE_TIMEOUT_MS);
+        if (answer !== undefined && answer !== null) return answer as PeerTable;
+      } catch {
+        // The next peer may be reachable.
+      }
+    }
+    return undefined;
+  }
+
   private get hasPeers(): boolean {
     return this.options.entry.peers.some((peer) => peer.name !== this.self);
   }
@@ -218,8 +242,11 @@
       this.dispatch(this.membership.receive(payload as MembershipMessage, nowMs));
     }
     if (method === 'announcements') {
-      for (const { announcement, ageMs } of payload as AgedAnnouncement[]) {
-        fleet.observe(announcement, ageMs, nowMs);
+      const { whole, short } = payload as SpreadMessage;
+      for (const [announcement, ageMs] of whole) fleet.observe(announcement, ageMs, nowMs);
+      for (const one of short) {
+        const { beat, ageMs } = heartbeatOf(one);
+        fleet.beat(beat, ageMs, nowMs);
       }
     }
     if (method === 'counts') this.takeCounts(payload as CountsMessage, peer, nowMs);
@@ -245,6 +272,7 @@
       const asks = payload as QuotaAsk[];
       return Promise.resolve(asks.map((ask) => this.owner.ask(ask, nowMs)));
     }
+    if (method === 'table') return Promise.resolve(this.options.tableForPeer(payload as number));
     if (method === 'burn') return Promise.resolve(this.options.burn.export(nowMs));
     const message = `entries answer no ${method}`;
     const error = new ShedlineError({
@@ -263,19 +291,17 @@
   }
 
   private spreadAnnouncements(): void {
-    if (this.toSpread.size === 0) return;
-    const nowMs = this.options.nowMs();
-    const batch: AgedAnnouncement[] = [...this.toSpread.values()].map((held) => ({
-      announcement: held.announcement,
-      ageMs: nowMs - held.heardAtMs,
-    }));
-    this.toSpread.clear();
-    for (const peer of this.otherEntries()) this.send(peer, 'announcements', batch);
+    const live = new Set(this.liveEntries());
+    for (const { to, message } of this.spreader.take(this.options.nowMs())) {
+      for (const name of to) {
+        if (live.has(name)) this.send(name, 'announcements', message);
+      }
+    }
   }
 
   /** Only counts that changed are sent, and those that are not zero again before they lapse. */
   private shareCounts(): void {
-    const peers = this.otherEntries();
+    const peers = this.liveCell().filter((name) => name !== this.self);
     if (peers.length === 0) return;
     const changed: CountsMessage = [];
     const current = new Map<string, string>();
@@ -345,3 +371,15 @@
     }
   }
 }
+
+/** All entries of the settings; one without a zone of its own stands in this one's. */
+function placedEntries(settings: Settings, entry: EntrySettings): PlacedEntry[] {
+  const own = { name: settings.name, availabilityZone: settings.availabilityZone };
+  const others = entry.peers
+    .filter((peer) => peer.name !== settings.name)
+    .map(({ name, availabilityZone }) => ({
+      name,
+      availabilityZone: availabilityZone ?? settings.availabilityZone,
+    }));
+  return [own, ...others];
+}
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -4,7 +4,7 @@
  */
 import { ConcurrencyLimit } from '@shedline/admission';
 import { EndpointDirectory } from '@shedline/directory';
-import type { KnownEndpoint } from '@shedline/directory';
+import type { Heartbeat, KnownEndpoint } from '@shedline/directory';
 import { CostRouting, LoadView, PrefixIndex, sessionHome } from '@shedline/routing';
 import type { Candidate, RoutingStrategy } from '@shedline/routing';
 import { TableView } from '@shedline/table';
@@ -55,6 +55,14 @@
     return true;
   }
 
+  /** Takes the short form of a heartbeat. */
+  beat(beat: Heartbeat, ageMs: number, nowMs: number): void {
+    if (!this.endpoints.beat(beat, ageMs, nowMs)) return;
+    const { endpointId, running, waiting } = beat;
+    const capacity = this.loads.capacity(endpointId);
+    this.loads.report(endpointId, running + waiting, capacity, ageMs, nowMs);
+  }
+
   /** Endpoints that new work of a row may go to. */
   endpointsOf(row: ServiceRow, nowMs: number): KnownEndpoint[] {
     if (row.kind === 'plain') {
--- a/packages/entry/src/http-support.ts
+++ b/packages/entry/src/http-support.ts
@@ -39,22 +39,27 @@
 }
 
 /** Reads a body up to a size; slow senders are cut off. */
-export async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer> {
   const declared = Number(incoming.headers['content-length'] ?? 0);
-  if (declared > maxBytes) throw tooLarge(maxBytes);
-  const timer = setTimeout(() => incoming.destroy(), BODY_TIMEOUT_MS);
-  const parts: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    for await (const part of incoming as AsyncIterable<Buffer>) {
+  if (declared > maxBytes) return Promise.reject(tooLarge(maxBytes));
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    const timer = setTimeout(() => incoming.destroy(), BODY_TIMEOUT_MS);
+    incoming.on('data', (part: Buffer) => {
       sizeBytes += part.length;
-      if (sizeBytes > maxBytes) throw tooLarge(maxBytes);
-      parts.push(part);
-    }
-  } finally {
-    clearTimeout(timer);
-  }
-  return Buffer.concat(parts, sizeBytes);
+      if (sizeBytes <= maxBytes) parts.push(part);
+      else reject(tooLarge(maxBytes));
+    });
+    incoming.on('end', () => {
+      clearTimeout(timer);
+      resolve(Buffer.concat(parts, Math.min(sizeBytes, maxBytes)));
+    });
+    incoming.on('error', () => {
+      clearTimeout(timer);
+      reject(invalid('the body broke off'));
+    });
+  });
 }
 
 /** Reads a JSON body and checks it; errors name the field. */
--- a/packages/entry/src/item-run.ts
+++ b/packages/entry/src/item-run.ts
@@ -28,6 +28,8 @@
 
 /** Batch streams may wait longer than online ones: many of them share a step. */
 const BATCH_PATIENCE = 4;
+/** Longest run of one item. */
+const MAX_ITEM_MS = 3_600_000;
 
 /** Runs an item to its end, or until it has to yield. */
 export async function runItem(options: ItemRunOptions): Promise<ItemRunOutcome> {
@@ -45,6 +47,7 @@
     resumeTokens: [...held.tokens],
     lane: 'batch',
     signal: options.signal,
+    deadlineMs: MAX_ITEM_MS,
     firstTokenTimeoutMs: bounds.firstTokenTimeoutMs * BATCH_PATIENCE,
     stallTimeoutMs: bounds.stallTimeoutMs * BATCH_PATIENCE,
     onToken: (text) => {
--- a/packages/entry/src/online-run.ts
+++ b/packages/entry/src/online-run.ts
@@ -6,7 +6,7 @@
 import type { SendProgress } from '@shedline/admission';
 import { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
-import type { LatencyRecorder, BurnRecorder } from '@shedline/metrics';
+import type { BurnRecorder, LatencyHistogram, LatencyRecorder } from '@shedline/metrics';
 import { prefixHashes, rowKey } from '@shedline/types';
 import type { ServiceRow } from '@shedline/types';
 import type { KnownEndpoint } from '@shedline/directory';
@@ -85,6 +85,7 @@
   private readonly tokens: string[] = [];
   private readonly sends: SendProgress[] = [];
   private readonly excluded = new Set<string>();
+  private readonly gaps: LatencyHistogram;
   private lastTokenMs = 0;
 
   constructor(context: OnlineContext, request: OnlineRequest) {
@@ -93,6 +94,7 @@
     this.service = rowKey(request.row.workspace, request.row.service);
     this.startedMs = context.nowMs();
     this.prefixes = prefixHashes(request.prompt);
+    this.gaps = context.latencies.histogram(this.service, 'online', 'betweenTokens');
   }
 
   /** Runs to the end; throws an error that truly says whether anything ran. */
@@ -134,10 +136,8 @@
         body: request.body,
         resumeTokens: [...this.tokens],
         lane: 'online',
-        signal: AbortSignal.any([
-          request.signal,
-          AbortSignal.timeout(Math.max(1, Math.ceil(this.leftMs()))),
-        ]),
+        signal: request.signal,
+        deadlineMs: Math.max(1, this.leftMs()),
         ...silenceBounds(request.row),
         onToken: (text) => {
           this.onToken(text, endpointId);
@@ -188,7 +188,7 @@
   private noteNextToken(nowMs: number): void {
     const gapMs = nowMs - this.lastTokenMs;
     const met = gapMs <= this.request.row.targets.betweenTokensMs;
-    this.context.latencies.record(this.service, 'online', 'betweenTokens', gapMs);
+    this.gaps.record(gapMs);
     this.context.burn.record(this.service, 'betweenTokens', met, nowMs);
   }
 
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -4,7 +4,7 @@
  */
 import type { ControlClient } from '@shedline/control-client';
 import type { Logger } from '@shedline/logger';
-import type { EntryStatus, TableView } from '@shedline/table';
+import type { EntryStatus, TableDelta, TableView } from '@shedline/table';
 import type { ServiceRow } from '@shedline/types';
 
 const REFRESH_TIMEOUT_MS = 2000;
@@ -19,6 +19,14 @@
   readonly staleAfterMs: number;
   readonly nowMs: () => number;
   readonly ownStatus: () => EntryStatus;
+  /** Asks a peer entry for its table, where control itself cannot be reached. */
+  readonly askPeer: (fromRevision: number) => Promise<PeerTable | undefined>;
+}
+
+/** The table of a peer entry and how long ago a quorum confirmed it. */
+export interface PeerTable {
+  readonly delta: TableDelta;
+  readonly ageMs: number;
 }
 
 /** Reads the table through the quorum. */
@@ -27,24 +35,27 @@
   entries: readonly EntryStatus[] = [];
   private readonly options: TableReaderOptions;
   private readAtMs = -Infinity;
-  private reading: Promise<void> | undefined;
+  private reading: Promise<boolean> | undefined;
 
   constructor(options: TableReaderOptions) {
     this.options = options;
   }
 
-  /** Whether the table was ever read. */
-  get hasRead(): boolean {
-    return this.readAtMs !== -Infinity;
-  }
-
   /** Whether the table is young enough to serve by. */
   get isFresh(): boolean {
     return this.options.nowMs() - this.readAtMs < this.options.staleAfterMs;
   }
 
-  /** Looks now, or waits for the look under way. */
-  refresh(): Promise<void> {
+  /** What a peer that cannot reach control is told; nothing where this table is old itself. */
+  tableForPeer(fromRevision: number): PeerTable | undefined {
+    if (!this.isFresh) return undefined;
+    const { table, nowMs } = this.options;
+    const ageMs = nowMs() - this.readAtMs;
+    return { delta: table.deltaFor(fromRevision), ageMs };
+  }
+
+  /** Looks now, or waits for the look under way; false where no quorum answered. */
+  refresh(): Promise<boolean> {
     this.reading ??= this.readOnce().finally(() => {
       this.reading = undefined;
     });
@@ -66,7 +77,7 @@
     return table.row(key);
   }
 
-  private async readOnce(): Promise<void> {
+  private async readOnce(): Promise<boolean> {
     const { control, table, logger, nowMs, ownStatus } = this.options;
     const askedAtMs = nowMs();
     try {
@@ -74,9 +85,23 @@
       table.apply(answer.delta);
       this.entries = answer.entries;
       this.readAtMs = askedAtMs;
+      return true;
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       logger.debug('table not refreshed', { step: 'refresh', reason });
+      return this.readFromPeer(askedAtMs);
     }
   }
+
+  /** A link to control that is cut does not make an entry useless while a peer has one. */
+  private async readFromPeer(askedAtMs: number): Promise<boolean> {
+    // A fresh entry serves nothing before a quorum itself has told it the table.
+    if (this.readAtMs === -Infinity) return false;
+    const { table, askPeer } = this.options;
+    const answer = await askPeer(table.revision);
+    if (answer === undefined) return false;
+    table.apply(answer.delta);
+    this.readAtMs = Math.max(this.readAtMs, askedAtMs - answer.ageMs);
+    return true;
+  }
 }
--- a/packages/metrics/src/burn.ts
+++ b/packages/metrics/src/burn.ts
@@ -51,13 +51,11 @@
 
 /** Counts events that met or missed their targets. */
 export class BurnRecorder {
-  private readonly series = new Map<string, Bucket[]>();
+  private readonly series = new Map<string, Map<BurnTarget, Bucket[]>>();
 
   /** Notes events. */
   record(service: string, target: BurnTarget, met: boolean, nowMs: number, count = 1): void {
-    const key = JSON.stringify([service, target]);
-    const buckets = this.series.get(key) ?? [];
-    this.series.set(key, buckets);
+    const buckets = this.bucketsOf(service, target);
     const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
     let bucket = buckets.at(-1);
     if (bucket?.startMs !== startMs) {
@@ -71,11 +69,27 @@
 
   /** What was counted, with ages in place of times, so that it can be added to others'. */
   export(nowMs: number): BurnSeries[] {
-    return [...this.series].map(([key, buckets]) => {
-      const [service, target] = JSON.parse(key) as [string, BurnTarget];
-      const aged = buckets.map(({ startMs, good, bad }) => ({ ageMs: nowMs - startMs, good, bad }));
-      return { service, target, buckets: aged };
-    });
+    return [...this.series].flatMap(([service, targets]) =>
+      [...targets].map(([target, buckets]) => ({
+        service,
+        target,
+        buckets: buckets.map(({ startMs, good, bad }) => ({ ageMs: nowMs - startMs, good, bad })),
+      })),
+    );
+  }
+
+  private bucketsOf(service: string, target: BurnTarget): Bucket[] {
+    let targets = this.series.get(service);
+    if (targets === undefined) {
+      targets = new Map();
+      this.series.set(service, targets);
+    }
+    let buckets = targets.get(target);
+    if (buckets === undefined) {
+      buckets = [];
+      targets.set(target, buckets);
+    }
+    return buckets;
   }
 }
 
--- a/packages/metrics/src/latency.ts
+++ b/packages/metrics/src/latency.ts
@@ -54,35 +54,49 @@
   }
 }
 
+interface LabelledHistogram {
+  readonly service: string;
+  readonly workClass: WorkClass;
+  readonly kind: LatencyKind;
+  readonly histogram: LatencyHistogram;
+}
+
 /** Histograms by service, class and kind. */
 export class LatencyRecorder {
-  private readonly histograms = new Map<string, LatencyHistogram>();
+  private readonly services = new Map<string, Map<string, LabelledHistogram>>();
 
   /** Notes one latency. */
   record(service: string, workClass: WorkClass, kind: LatencyKind, valueMs: number): void {
-    const key = JSON.stringify([service, workClass, kind]);
-    let histogram = this.histograms.get(key);
-    if (histogram === undefined) {
-      histogram = new LatencyHistogram();
-      this.histograms.set(key, histogram);
+    this.histogram(service, workClass, kind).record(valueMs);
+  }
+
+  /** The histogram of a service, to be kept by whoever records often. */
+  histogram(service: string, workClass: WorkClass, kind: LatencyKind): LatencyHistogram {
+    let ofService = this.services.get(service);
+    if (ofService === undefined) {
+      ofService = new Map();
+      this.services.set(service, ofService);
     }
-    histogram.record(valueMs);
+    const label = `${workClass} ${kind}`;
+    const known = ofService.get(label);
+    if (known !== undefined) return known.histogram;
+    const histogram = new LatencyHistogram();
+    ofService.set(label, { service, workClass, kind, histogram });
+    return histogram;
   }
 
   /** All histograms in short. */
   summaries(): LatencySummary[] {
-    return [...this.histograms].map(([key, histogram]) => {
-      const [service, workClass, kind] = JSON.parse(key) as [string, WorkClass, LatencyKind];
-      return {
-        service,
-        workClass,
-        kind,
-        count: histogram.count,
-        p50Ms: histogram.percentileMs(50),
-        p95Ms: histogram.percentileMs(95),
-        p99Ms: histogram.percentileMs(99),
-        maxMs: histogram.maxMs,
-      };
-    });
+    const all = [...this.services.values()].flatMap((ofService) => [...ofService.values()]);
+    return all.map(({ service, workClass, kind, histogram }) => ({
+      service,
+      workClass,
+      kind,
+      count: histogram.count,
+      p50Ms: histogram.percentileMs(50),
+      p95Ms: histogram.percentileMs(95),
+      p99Ms: histogram.percentileMs(99),
+      maxMs: histogram.maxMs,
+    }));
   }
 }
--- a/packages/table/src/table-view.ts
+++ b/packages/table/src/table-view.ts
@@ -25,6 +25,14 @@
     return this.rowsByKey.get(key);
   }
 
+  /** The whole table for a peer, or nothing where the peer has it already. */
+  deltaFor(fromRevision: number): TableDelta {
+    const revision = this.currentRevision;
+    const common = { fromRevision, revision, models: [], removed: [] };
+    if (fromRevision === revision) return { ...common, kind: 'delta', rows: [] };
+    return { ...common, kind: 'snapshot', rows: this.rows };
+  }
+
   /** Takes a delta; an older one, or one that leaves a gap, changes nothing. */
   apply(delta: TableDelta): boolean {
     if (delta.revision < this.currentRevision) return false;
--- a/packages/test-utils/src/process-fleet.ts
+++ b/packages/test-utils/src/process-fleet.ts
@@ -33,6 +33,8 @@
   readonly control?: Readonly<Record<string, unknown>>;
   readonly entry?: Readonly<Record<string, unknown>>;
   readonly logLevel?: string;
+  /** Arguments for the runtime of the instances, such as those of its profiler. */
+  readonly nodeArguments?: readonly string[];
 }
 
 interface Place {
@@ -106,9 +108,13 @@
   async start(name: string): Promise<void> {
     const file = await this.writeSettings(name);
     const role = name.startsWith('control') ? 'control' : 'entry';
-    const child = spawn(process.execPath, [this.options.bin, role, '--settings', file], {
-      stdio: ['ignore', 'pipe', 'inherit'],
-    });
+    const child = spawn(
+      process.execPath,
+      [...(this.options.nodeArguments ?? []), this.options.bin, role, '--settings', file],
+      {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      },
+    );
     this.processes.set(name, child);
     await new Promise<void>((resolve, reject) => {
       const timer = setTimeout(() => {
