--- a/packages/batch/src/allocation.ts
+++ b/packages/batch/src/allocation.ts
@@ -77,31 +77,38 @@
 ): Map<WaitingWork, number> {
   const total = eligible.reduce((sum, work) => sum + claimOf(work), 0);
   const given = new Map<WaitingWork, number>();
+  const remainders: Remainder[] = [];
+  let rest = free;
   for (const work of eligible) {
-    const share = Math.floor((free * claimOf(work)) / total);
-    given.set(work, Math.min(share, left.get(work) ?? 0));
+    const share = (free * claimOf(work)) / total;
+    const whole = Math.min(Math.floor(share), left.get(work) ?? 0);
+    given.set(work, whole);
+    rest -= whole;
+    if (whole < (left.get(work) ?? 0)) remainders.push({ work, part: share - Math.floor(share) });
   }
-  const handedOut = [...given.values()].reduce((sum, items) => sum + items, 0);
-  if (handedOut === 0) {
-    const lucky = drawByClaim(eligible, total, random);
-    given.set(lucky, 1);
+  for (; rest > 0 && remainders.length > 0; rest -= 1) {
+    const lucky = drawRemainder(remainders, random);
+    given.set(lucky, (given.get(lucky) ?? 0) + 1);
   }
   return given;
 }
 
-function drawByClaim(
-  eligible: readonly WaitingWork[],
-  total: number,
-  random: () => number,
-): WaitingWork {
-  let point = random() * total;
-  for (const work of eligible) {
-    point -= claimOf(work);
-    if (point < 0) return work;
-  }
-  const last = eligible.at(-1);
-  if (last === undefined) throw new Error('drawByClaim: nothing to draw from');
-  return last;
+interface Remainder {
+  readonly work: WaitingWork;
+  /** Part of a slot that the division left to this work. */
+  readonly part: number;
+}
+
+/** Takes one work out, the likelier the larger its remainder. */
+function drawRemainder(remainders: Remainder[], random: () => number): WaitingWork {
+  let point = random() * remainders.reduce((sum, { part }) => sum + part, 0);
+  const found = remainders.findIndex(({ part }) => {
+    point -= part;
+    return point < 0;
+  });
+  const [drawn] = remainders.splice(found === -1 ? 0 : found, 1);
+  if (drawn === undefined) throw new Error('drawRemainder: nothing to draw from');
+  return drawn.work;
 }
 
 function addRequest(requests: Map<string, GrantRequest>, work: WaitingWork, items: number): void {
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -46,7 +46,7 @@
     .default(4)
     .describe('Log groups for jobs and call keys; fixed when the cluster forms.'),
   voterCount: z.number().int().min(1).max(7).default(5).describe('Voters wanted in each group.'),
-  electionTimeoutMs: durationMs(1000, 'Silence of a leader before an election.'),
+  electionTimeoutMs: durationMs(700, 'Silence of a leader before an election.'),
   heartbeatIntervalMs: durationMs(150, 'Time between heartbeats of a leader.'),
   replaceAfterMs: durationMs(60_000, 'Silence of a voter before it is replaced or dropped.'),
   itemLeaseMs: durationMs(6000, 'Time that an entry keeps batch items without a word.'),
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -143,7 +143,7 @@
 
   /** Hands leaderships over, then stops. */
   async stop(): Promise<void> {
-    this.stopped = true;
+    // Still answering its peers: a transfer needs their replies.
     await this.handOver();
     this.kill();
     await this.server.close();
