--- a/bench/src/slopes.ts
+++ b/bench/src/slopes.ts
@@ -1,6 +1,6 @@
 /**
  * Slopes for docs/CAPACITY.md: cost of each mechanism at three or more sizes.
- * `node bench/dist/slopes.js [watchers|beats|routing|membership|quota|prefixes|table|idle]`.
+ * `node bench/dist/slopes.js [watchers|announces|beats|routing|membership|quota|prefixes|table|idle]`.
  */
 import { fileURLToPath } from 'node:url';
 import { pack, unpack } from 'msgpackr';
@@ -12,7 +12,7 @@
 import { FleetView } from '@shedline/entry';
 import { PrefixIndex } from '@shedline/routing';
 import { Table } from '@shedline/table';
-import { ProcessFleet, seededRandom } from '@shedline/test-utils';
+import { FLEET_TOKENS, ProcessFleet, seededRandom } from '@shedline/test-utils';
 import { DEFAULT_ROW_FIELDS } from '@shedline/types';
 import type { Announcement, ServiceRow } from '@shedline/types';
 import { cpuSeconds, memoryMiB } from './support/bench-fleet.js';
@@ -357,6 +357,46 @@
   return rows;
 }
 
+/** Announcements that endpoints post to one entry. */
+async function announces(): Promise<ResultRow[]> {
+  const rows: ResultRow[] = [];
+  for (const perSecond of [30, 100, 300]) {
+    const fleet = await ProcessFleet.create({
+      bin: BIN,
+      controls: 1,
+      entries: 1,
+      control: { voterCount: 1 },
+    });
+    await fleet.startAll();
+    const url = `${fleet.entryUrls[0] ?? ''}/v1/endpoints/announce`;
+    const headers = {
+      authorization: `Bearer ${FLEET_TOKENS.endpoint}`,
+      'content-type': 'application/json',
+    };
+    let sequence = 0;
+    const timer = setInterval(() => {
+      sequence += 1;
+      const body = JSON.stringify(announcement(sequence % perSecond, sequence));
+      void fetch(url, { method: 'POST', headers, body }).then((answer) => answer.arrayBuffer());
+    }, 1000 / perSecond);
+    await pause(2000);
+    const pid = fleet.pid('entry-1');
+    const before = await cpuSeconds(pid);
+    const sequenceBefore = sequence;
+    await pause(6000);
+    const cpu = (await cpuSeconds(pid)) - before;
+    clearInterval(timer);
+    rows.push({
+      'announcements/s': (sequence - sequenceBefore) / 6,
+      'entry % of a core': (cpu / 6) * 100,
+      'body B': JSON.stringify(announcement(1)).length,
+      'entry MiB': await memoryMiB(pid),
+    });
+    await fleet.close();
+  }
+  return rows;
+}
+
 const parts: Record<string, () => ResultRow[] | Promise<ResultRow[]>> = {
   beats,
   routing,
--- a/packages/cli/src/durability.test.ts
+++ b/packages/cli/src/durability.test.ts
@@ -52,7 +52,7 @@
 describe('control instances as processes', () => {
   test.serial(
     title(
-      'no acknowledged edit is lost over a killed leader, a wiped disk, its repair and another kill',
+      'no acknowledged edit is lost over a killed leader, a frozen one, a wiped disk, its repair and another kill',
     ),
     async (t) => {
       const fleet = await ProcessFleet.create({
@@ -79,6 +79,11 @@
         await editMany(150);
         await fleet.start(first);
         await editMany(20);
+        const frozen = await leaderOf(client);
+        fleet.freeze(frozen, true);
+        await editMany(20);
+        fleet.freeze(frozen, false);
+        await editMany(20);
         const second = await leaderOf(client);
         const wipedId =
           (await client.statuses()).find(({ instance }) => instance === second)?.memberId ?? '';
@@ -90,10 +95,10 @@
         await fleet.kill(third);
         await editMany(20);
         const table = await client.table(-1);
-        t.is(table.revision, 240);
+        t.is(table.revision, 280);
         t.deepEqual(
           table.rows.map((row) => row.weight).sort((a, b) => a - b),
-          [236, 237, 238, 239, 240],
+          [276, 277, 278, 279, 280],
         );
         t.is(await edit(client, 17).catch(() => 0), 18, 'a resent edit gets its first answer');
       } finally {
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -109,7 +109,7 @@
     .number()
     .min(0)
     .max(1)
-    .default(0.5)
+    .default(0.8)
     .describe('0: guard online latency most; 1: favour batch throughput most.'),
   drainTimeoutMs: durationMs(30_000, 'Longest wait for running requests at a planned stop.'),
 });
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -3,37 +3,30 @@
  */
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
-import { Consensus, instanceOf, planMembership } from '@shedline/consensus';
-import type { ConsensusMessage, LogEntry } from '@shedline/consensus';
+import { Consensus, instanceOf } from '@shedline/consensus';
 import type { ControlSettings, Settings } from '@shedline/config';
-import type {
-  ControlMethod,
-  ControlPort,
-  ControlStatus,
-  Proposal,
-  Query,
-} from '@shedline/control-client';
-import { ShedlineError } from '@shedline/errors';
-import { OrderGate } from '@shedline/fencing';
-import type { OrderAnswer, OrderCommand } from '@shedline/fencing';
-import { LeaseClock } from '@shedline/jobs';
+import type { ControlPort, ControlStatus } from '@shedline/control-client';
+import type { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
 import { DiskItemFiles, NodeFileSystem, Storage } from '@shedline/storage';
 import type { RecoveredGroup } from '@shedline/storage';
-import { InForceTracker } from '@shedline/table';
-import type { EntryStatus } from '@shedline/table';
 import { PeerClient, PeerServer } from '@shedline/transport';
-import { TABLE_GROUP, rendezvousOrder } from '@shedline/types';
-import { newCluster, planBootstrap } from './bootstrap.js';
+import { TABLE_GROUP } from '@shedline/types';
 import type { HelloAnswer } from './bootstrap.js';
+import { findCluster } from './cluster-finder.js';
+import { ControlRequests } from './control-requests.js';
 import { GroupHost } from './group-host.js';
-import type { SnapshotManifest } from './group-host.js';
 import { initialConfig, loadCluster, loadMemberId, saveCluster } from './identity.js';
 import type { ClusterDocument } from './identity.js';
-import { OrderRunner } from './order-runner.js';
-import { copyFiles } from './snapshot-copy.js';
+import { JobDuties } from './job-duties.js';
+import { repairMembers, spreadLeader } from './member-duties.js';
+import type { MemberDutiesOptions } from './member-duties.js';
+import { MemberMailbox, detached } from './member-mailbox.js';
+import type { ConsensusBatch } from './member-mailbox.js';
+import { SnapshotExchange } from './snapshot-exchange.js';
 import { JobGroup, TableGroup } from './state-machine.js';
 import type { GroupStateMachine } from './state-machine.js';
+import { TableDuties } from './table-duties.js';
 
 const TICK_MS = 25;
 const PRESENCE_INTERVAL_MS = 500;
@@ -41,14 +34,8 @@
 const DUTY_INTERVAL_MS = 500;
 const HOUSEKEEP_INTERVAL_MS = 10_000;
 const SPREAD_INTERVAL_MS = 5000;
-const BOOTSTRAP_PAUSE_MS = 200;
-const HELLO_TIMEOUT_MS = 1000;
-const COPY_TIMEOUT_MS = 5000;
-const SNAPSHOT_RETRY_MS = 10_000;
 const TRANSFER_WAIT_MS = 1500;
 const MAX_WAL_SEGMENTS = 6;
-/** Weight of the newest second in the rate of ended items. */
-const RATE_SMOOTHING = 0.2;
 
 /** Options of {@link ControlNode}. */
 export interface ControlNodeOptions {
@@ -60,8 +47,6 @@
   readonly nowMs?: () => number;
 }
 
-type ConsensusBatch = [number, ConsensusMessage][];
-
 /** One control instance. */
 export class ControlNode {
   readonly port: ControlPort;
@@ -73,20 +58,17 @@
   private readonly server: PeerServer;
   private readonly peers = new Map<string, PeerClient>();
   private readonly hosts = new Map<number, GroupHost>();
-  private readonly leaseClocks = new Map<number, LeaseClock>();
-  private readonly endedBefore = new Map<number, number>();
   private readonly presence = new Map<string, { memberId: string; heardAtMs: number }>();
-  private readonly inForce = new InForceTracker();
-  private readonly gate: OrderGate;
-  private readonly outbox = new Map<string, ConsensusBatch>();
-  private readonly copying = new Set<number>();
-  private readonly offeredAtMs = new Map<string, number>();
+  private readonly mailbox: MemberMailbox;
+  private readonly snapshots: SnapshotExchange;
+  private readonly jobDuties: JobDuties;
+  private readonly tableDuties: TableDuties;
+  private readonly requests: ControlRequests;
   private readonly itemFiles = new Map<number, DiskItemFiles>();
   private recovered: ReadonlyMap<number, RecoveredGroup> = new Map();
   private storage: Storage | undefined;
   private memberId = '';
   private cluster: ClusterDocument | undefined;
-  private orderRunner: OrderRunner | undefined;
   private timers: NodeJS.Timeout[] = [];
   private stopped = false;
 
@@ -96,9 +78,30 @@
     this.logger = options.logger;
     this.random = options.random ?? Math.random;
     this.nowMs = options.nowMs ?? (() => performance.now());
-    this.gate = new OrderGate({
-      leaseMs: this.control.orderLeaseMs,
-      orderTimeoutMs: this.control.orderTimeoutMs,
+    const peer = (instance: string): PeerClient | undefined => this.peers.get(instance);
+    const inBackground = (work: Promise<unknown>): void => {
+      this.inBackground(work);
+    };
+    const { control, logger, nowMs } = this;
+    this.mailbox = new MemberMailbox(peer);
+    this.jobDuties = new JobDuties({ control, inBackground });
+    this.tableDuties = new TableDuties({ control, logger, nowMs, inBackground });
+    this.requests = new ControlRequests({
+      instance: this.settings.name,
+      hosts: this.hosts,
+      jobDuties: this.jobDuties,
+      tableDuties: this.tableDuties,
+      filesOf: (group) => this.filesOf(group),
+      nowMs,
+      groupCount: () => (this.stopped ? undefined : this.cluster?.jobGroupCount),
+    });
+    this.snapshots = new SnapshotExchange({
+      logger,
+      nowMs,
+      peer,
+      hostFor: (group) => this.hosts.get(group) ?? this.openGroup(group),
+      filesOf: (group) => this.filesOf(group),
+      isStopped: () => this.stopped,
     });
     this.server = new PeerServer({
       name: this.settings.name,
@@ -134,8 +137,8 @@
     this.recovered = storage.takeRecovered();
     await this.server.listen(this.control.listenHost, this.control.listenPort);
     this.connectPeers();
-    this.cluster ??= await this.findCluster(storage);
-    if (this.stopped) return;
+    this.cluster ??= await this.joinCluster(storage);
+    if (this.cluster === undefined) return;
     this.openGroups(this.cluster);
     this.startTimers();
     this.logger.info('control ready', { memberId: this.memberId, step: 'start' });
@@ -201,38 +204,12 @@
     }
   }
 
-  private async findCluster(storage: Storage): Promise<ClusterDocument> {
-    for (;;) {
-      const answers = await this.askPeers();
-      const plan = planBootstrap({
-        instance: this.settings.name,
-        bootstrapMembers: this.control.bootstrapMembers,
-        answers,
-      });
-      if (plan.action !== 'wait' || this.stopped) {
-        const cluster =
-          plan.action === 'join'
-            ? plan.cluster
-            : newCluster(plan.action === 'form' ? plan.members : [], this.control);
-        await saveCluster(storage, cluster);
-        return cluster;
-      }
-      this.logger.debug('no cluster yet', { step: 'bootstrap', reason: plan.reason });
-      await pause(BOOTSTRAP_PAUSE_MS);
-    }
-  }
-
-  private async askPeers(): Promise<Map<string, HelloAnswer>> {
-    const answers = new Map<string, HelloAnswer>([[this.settings.name, this.hello()]]);
-    const asked = [...this.peers].map(async ([name, peer]) => {
-      try {
-        answers.set(name, (await peer.request('hello', {}, HELLO_TIMEOUT_MS)) as HelloAnswer);
-      } catch {
-        // A silent instance simply has no answer; the plan says whether that matters.
-      }
-    });
-    await Promise.all(asked);
-    return answers;
+  private async joinCluster(storage: Storage): Promise<ClusterDocument | undefined> {
+    const { peers, control, logger } = this;
+    const isStopped = (): boolean => this.stopped;
+    const cluster = await findCluster({ hello: this.hello(), peers, control, logger, isStopped });
+    if (cluster !== undefined) await saveCluster(storage, cluster);
+    return cluster;
   }
 
   private hello(): HelloAnswer {
@@ -280,10 +257,10 @@
       appliedIndex: position.index,
       snapshotAfterBytes: this.control.snapshotAfterBytes,
       send: (from, message) => {
-        this.enqueue(from, message);
+        this.mailbox.add(from, message);
       },
       offerSnapshot: (from, memberId) => {
-        this.offerSnapshot(from, memberId);
+        this.snapshots.offer(from, memberId, this.memberId);
       },
       onRoleChange: (changed, leading) => {
         this.onRoleChange(changed, leading);
@@ -356,67 +333,22 @@
 
   private leaderDuties(): void {
     const nowMs = this.nowMs();
-    for (const host of this.hosts.values()) {
-      if (!host.isLeading) continue;
-      this.planMembers(host);
-      if (host.machine instanceof JobGroup) this.jobDuties(host, host.machine, nowMs);
-      else this.tableDuties(host, nowMs);
+    for (const host of this.leading()) {
+      repairMembers(this.dutiesOf(host));
+      const { machine } = host;
+      if (machine instanceof JobGroup) this.jobDuties.tick(host, machine, nowMs, DUTY_INTERVAL_MS);
+      else this.tableDuties.tick(host, nowMs);
     }
     this.relieveWal();
   }
 
-  private planMembers(host: GroupHost): void {
-    const { consensus } = host;
-    const members = new Map(
-      [...consensus.memberProgress()].map(([memberId, progress]) => [
-        memberId,
-        {
-          memberId,
-          silentMs: progress.silentMs,
-          lagEntries: consensus.commitIndex - progress.matchIndex,
-        },
-      ]),
-    );
-    const next = planMembership({
-      config: consensus.config,
-      selfId: this.memberId,
-      members,
-      liveIds: this.liveIds(),
-      targetVoters: Math.min(this.control.voterCount, this.control.peers.length),
-      replaceAfterMs: this.control.replaceAfterMs,
-    });
-    if (next === undefined || !host.changeMembers(next)) return;
-    const { group } = host;
-    this.logger.info('members change', { group, voters: next.voters, learners: next.learners });
-  }
-
-  private jobDuties(host: GroupHost, machine: JobGroup, nowMs: number): void {
-    const clock = this.leaseClockOf(host.group);
-    const leaseIds = clock.expired(machine.jobs.openLeaseIds, nowMs);
-    if (leaseIds.length > 0) {
-      this.inBackground(host.propose({ type: 'expireLeases', atMs: Date.now(), leaseIds }));
-    }
-    const ended = machine.jobs.endedSinceStart;
-    const newlyEnded = ended - (this.endedBefore.get(host.group) ?? ended);
-    this.endedBefore.set(host.group, ended);
-    const rate = newlyEnded / (DUTY_INTERVAL_MS / 1000);
-    machine.itemsPerSecond += RATE_SMOOTHING * (rate - machine.itemsPerSecond);
-  }
-
-  private tableDuties(host: GroupHost, nowMs: number): void {
-    const confirmed = host.confirmLeadership().then(() => {
-      this.gate.confirmed(nowMs);
-    });
-    this.inBackground(confirmed);
-    this.orderRunner?.tick();
+  private leading(): GroupHost[] {
+    return [...this.hosts.values()].filter((host) => host.isLeading);
   }
 
-  private leaseClockOf(group: number): LeaseClock {
-    const known = this.leaseClocks.get(group);
-    if (known !== undefined) return known;
-    const clock = new LeaseClock({ leaseMs: this.control.itemLeaseMs });
-    this.leaseClocks.set(group, clock);
-    return clock;
+  private dutiesOf(host: GroupHost): MemberDutiesOptions {
+    const { memberId, control, logger } = this;
+    return { host, memberId, liveIds: this.liveIds(), control, logger };
   }
 
   private relieveWal(): void {
@@ -428,30 +360,17 @@
   }
 
   private housekeep(): void {
-    const { jobRetentionMs, callRetentionMs } = this.control;
-    for (const host of this.hosts.values()) {
-      if (!host.isLeading || !(host.machine instanceof JobGroup)) continue;
-      const command = { type: 'housekeep', atMs: Date.now(), jobRetentionMs, callRetentionMs };
-      this.inBackground(host.propose(command));
+    for (const host of this.leading()) {
+      if (host.machine instanceof JobGroup) this.jobDuties.housekeep(host);
     }
   }
 
-  /** Leaders move to the voter that a hash prefers, so that they spread over the members. */
   private spreadLeaders(): void {
-    const live = this.liveIds();
-    for (const host of this.hosts.values()) {
-      if (!host.isLeading) continue;
-      const voters = host.consensus.config.voters.filter((voter) => live.includes(voter));
-      const preferred = rendezvousOrder(`leader|${host.group}`, voters, 1)[0];
-      if (preferred === undefined || preferred === this.memberId) continue;
-      host.consensus.transferLeadershipTo(preferred, this.nowMs());
-      host.tick(this.nowMs());
-    }
+    for (const host of this.leading()) spreadLeader(this.dutiesOf(host), this.nowMs());
   }
 
   private async handOver(): Promise<void> {
-    const leading = [...this.hosts.values()].filter((host) => host.isLeading);
-    const others = leading.filter((host) => host.consensus.config.voters.length > 1);
+    const others = this.leading().filter((host) => host.consensus.config.voters.length > 1);
     for (const host of others) host.transferLeadership(this.nowMs());
     const deadlineMs = this.nowMs() + TRANSFER_WAIT_MS;
     while (others.some((host) => host.isLeading) && this.nowMs() < deadlineMs) {
@@ -460,49 +379,10 @@
   }
 
   private onRoleChange(host: GroupHost, leading: boolean): void {
-    const { group } = host;
+    const { group, machine } = host;
     this.logger.info(leading ? 'leads group' : 'follows in group', { group, step: 'election' });
-    this.leaseClocks.get(group)?.clear();
-    if (!(host.machine instanceof TableGroup)) return;
-    this.inForce.becameLeader(this.nowMs());
-    this.gate.lost();
-    this.orderRunner = undefined;
-    if (leading) this.inBackground(this.claimOrders(host, host.machine));
-  }
-
-  private async claimOrders(host: GroupHost, machine: TableGroup): Promise<void> {
-    const command: OrderCommand = { type: 'claimOrders', holder: this.memberId };
-    const answer = (await host.propose(command)) as OrderAnswer;
-    if (!host.isLeading) return;
-    this.gate.acquired(answer.fencingNumber, this.nowMs());
-    this.orderRunner = new OrderRunner({
-      gate: this.gate,
-      orders: machine.orders,
-      propose: (order) => host.propose(order) as Promise<OrderAnswer>,
-      loadsAtOnce: this.control.weightStoreLoadsAtOnce,
-      orderTimeoutMs: this.control.orderTimeoutMs,
-      logger: this.logger,
-      nowMs: this.nowMs,
-    });
-  }
-
-  /** Messages of one turn of the event loop to one peer go out as one frame. */
-  private enqueue(group: number, message: ConsensusMessage): void {
-    if (this.outbox.size === 0)
-      setImmediate(() => {
-        this.flushOutbox();
-      });
-    const instance = instanceOf(message.to);
-    const batch = this.outbox.get(instance) ?? [];
-    batch.push([group, message]);
-    this.outbox.set(instance, batch);
-  }
-
-  private flushOutbox(): void {
-    for (const [instance, batch] of this.outbox) {
-      this.peers.get(instance)?.send('consensus', batch);
-    }
-    this.outbox.clear();
+    this.jobDuties.roleChanged(group);
+    if (machine instanceof TableGroup) this.tableDuties.roleChanged(host, machine, this.memberId);
   }
 
   private onMessage(method: string, payload: unknown): void {
@@ -511,12 +391,11 @@
     if (method === 'consensus') this.onConsensus(payload as ConsensusBatch);
     if (method === 'snapshotOffer') {
       const { group, leaderId } = payload as { group: number; leaderId: string };
-      this.inBackground(this.copySnapshot(group, leaderId));
+      this.inBackground(this.snapshots.copy(group, leaderId, this.memberId));
     }
     if (method === 'snapshotDone') {
       const { group, memberId } = payload as { group: number; memberId: string };
-      this.offeredAtMs.delete(`${group}|${memberId}`);
-      this.hosts.get(group)?.consensus.snapshotSent(memberId);
+      this.snapshots.done(group, memberId);
     }
   }
 
@@ -544,135 +423,10 @@
     }
   }
 
-  private offerSnapshot(group: number, memberId: string): void {
-    const key = `${group}|${memberId}`;
-    const nowMs = this.nowMs();
-    this.offeredAtMs.set(key, nowMs);
-    this.peers.get(instanceOf(memberId))?.send('snapshotOffer', { group, leaderId: this.memberId });
-    setTimeout(() => {
-      // The offer or its answer was lost: start again from what matches.
-      if (this.offeredAtMs.get(key) !== nowMs) return;
-      this.hosts.get(group)?.consensus.snapshotSent(memberId);
-    }, SNAPSHOT_RETRY_MS).unref();
-  }
-
-  private async copySnapshot(group: number, leaderId: string): Promise<void> {
-    const host = this.hosts.get(group) ?? this.openGroup(group);
-    const source = this.peers.get(instanceOf(leaderId));
-    if (host === undefined || source === undefined || this.copying.has(group)) return;
-    this.copying.add(group);
-    const startedAt = host.appliedIndex;
-    try {
-      const manifest = (await source.request(
-        'manifest',
-        { group },
-        COPY_TIMEOUT_MS,
-      )) as SnapshotManifest;
-      const copiedBytes = await copyFiles({
-        manifest,
-        held: host.machine.fileSizes(),
-        files: this.filesOf(group),
-        read: (file, offset, sizeBytes) =>
-          source.request(
-            'chunk',
-            { group, file, offset, sizeBytes },
-            COPY_TIMEOUT_MS,
-          ) as Promise<Uint8Array>,
-        isWanted: () => host.appliedIndex === startedAt && !this.stopped,
-      });
-      const installed = await host.install(manifest, leaderId);
-      this.logger.info('snapshot copied', { group, copiedBytes, installed, peer: leaderId });
-    } finally {
-      this.copying.delete(group);
-      source.send('snapshotDone', { group, memberId: this.memberId });
-    }
-  }
-
   private async onRequest(method: string, payload: unknown): Promise<unknown> {
     if (method === 'hello') return this.hello();
     if (method === 'status') return this.status();
-    if (this.cluster === undefined || this.stopped) throw this.notReady(method);
-    switch (method as ControlMethod | 'manifest' | 'chunk') {
-      case 'groups':
-        return this.cluster.jobGroupCount;
-      case 'propose':
-        return this.onPropose(payload as { group: number; command: Proposal });
-      case 'query':
-        return this.onQuery(payload as { group: number; query: Query });
-      case 'renew':
-        return this.onRenew(payload as { group: number; leaseIds: string[] });
-      case 'refresh':
-        return this.onRefresh(payload as EntryStatus);
-      case 'manifest':
-        return this.hostOf((payload as { group: number }).group, method).manifest();
-      case 'chunk':
-        return this.onChunk(
-          payload as { group: number; file: string; offset: number; sizeBytes: number },
-        );
-      default:
-        throw this.notReady(method);
-    }
-  }
-
-  private onPropose(payload: { group: number; command: Proposal }): Promise<unknown> {
-    const host = this.hostOf(payload.group, 'propose');
-    return host.propose({ ...payload.command, atMs: Date.now() });
-  }
-
-  private async onQuery(payload: { group: number; query: Query }): Promise<unknown> {
-    const host = this.hostOf(payload.group, 'query');
-    if (payload.query.type === 'inForce') {
-      await host.confirmLeadership();
-      return this.inForce.report(payload.query.revision, this.nowMs());
-    }
-    return host.query(payload.query);
-  }
-
-  private async onRenew(payload: { group: number; leaseIds: string[] }): Promise<string[]> {
-    const host = this.hostOf(payload.group, 'renew');
-    await host.confirmLeadership();
-    if (!(host.machine instanceof JobGroup)) return [];
-    const open = new Set(host.machine.jobs.openLeaseIds);
-    const clock = this.leaseClockOf(payload.group);
-    for (const leaseId of payload.leaseIds) {
-      if (open.has(leaseId)) clock.renew(leaseId, this.nowMs());
-    }
-    return payload.leaseIds.filter((leaseId) => !open.has(leaseId));
-  }
-
-  private async onRefresh(status: EntryStatus): Promise<unknown> {
-    const host = this.hostOf(TABLE_GROUP, 'refresh');
-    const delta = await host.query({ type: 'table', fromRevision: status.revision });
-    const nowMs = this.nowMs();
-    this.inForce.hear(status, nowMs);
-    return { delta, entries: this.inForce.liveEntries(nowMs) };
-  }
-
-  private onChunk(payload: {
-    group: number;
-    file: string;
-    offset: number;
-    sizeBytes: number;
-  }): Uint8Array {
-    this.hostOf(payload.group, 'chunk');
-    return this.filesOf(payload.group).readRaw(payload.file, payload.offset, payload.sizeBytes);
-  }
-
-  private hostOf(group: number, step: string): GroupHost {
-    const host = this.hosts.get(group);
-    if (host === undefined) throw this.notReady(step);
-    return host;
-  }
-
-  private notReady(step: string): ShedlineError {
-    const message = `${this.settings.name} does not serve this yet; ask another control instance`;
-    return new ShedlineError({
-      type: 'unavailable',
-      message,
-      step,
-      peer: this.settings.name,
-      ran: 'no',
-    });
+    return this.requests.answer(method, payload);
   }
 
   private inBackground(work: Promise<unknown>): void {
@@ -684,16 +438,6 @@
   }
 }
 
-/** A message whose entries no longer share memory with the frame that brought them. */
-function detached(message: ConsensusMessage): ConsensusMessage {
-  if (message.type !== 'append') return message;
-  const entries = message.entries.map((entry): LogEntry => ({
-    ...entry,
-    data: new Uint8Array(entry.data),
-  }));
-  return { ...message, entries };
-}
-
 function pause(pauseMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, pauseMs));
 }
--- /dev/null
+++ b/packages/control/src/control-requests.ts
@@ -0,0 +1,110 @@
+/**
+ * Requests of entries and peers to a control instance.
+ */
+import type { ControlMethod, Proposal, Query } from '@shedline/control-client';
+import { ShedlineError } from '@shedline/errors';
+import type { DiskItemFiles } from '@shedline/storage';
+import type { EntryStatus } from '@shedline/table';
+import { TABLE_GROUP } from '@shedline/types';
+import type { GroupHost } from './group-host.js';
+import type { JobDuties } from './job-duties.js';
+import type { TableDuties } from './table-duties.js';
+
+/** Options of {@link ControlRequests}. */
+export interface ControlRequestsOptions {
+  readonly instance: string;
+  readonly hosts: ReadonlyMap<number, GroupHost>;
+  readonly jobDuties: JobDuties;
+  readonly tableDuties: TableDuties;
+  readonly filesOf: (group: number) => DiskItemFiles;
+  readonly nowMs: () => number;
+  /** Job groups of the cluster; undefined while there is none. */
+  readonly groupCount: () => number | undefined;
+}
+
+interface ChunkRequest {
+  readonly group: number;
+  readonly file: string;
+  readonly offset: number;
+  readonly sizeBytes: number;
+}
+
+/** Names of item files: nothing that leads out of their folder. */
+const FILE_NAME = /^[a-zA-Z0-9][a-zA-Z0-9.-]*$/;
+
+/** Answers requests once the instance is part of a cluster. */
+export class ControlRequests {
+  private readonly options: ControlRequestsOptions;
+
+  constructor(options: ControlRequestsOptions) {
+    this.options = options;
+  }
+
+  /** Answers one request; throws where another instance has to be asked. */
+  async answer(method: string, payload: unknown): Promise<unknown> {
+    const groupCount = this.options.groupCount();
+    if (groupCount === undefined) throw this.notReady(method);
+    switch (method as ControlMethod | 'manifest' | 'chunk') {
+      case 'groups':
+        return groupCount;
+      case 'propose':
+        return this.propose(payload as { group: number; command: Proposal });
+      case 'query':
+        return this.query(payload as { group: number; query: Query });
+      case 'renew':
+        return this.renew(payload as { group: number; leaseIds: string[] });
+      case 'refresh':
+        return this.refresh(payload as EntryStatus);
+      case 'manifest':
+        return this.hostOf((payload as { group: number }).group, method).manifest();
+      case 'chunk':
+        return this.chunk(payload as ChunkRequest);
+      default:
+        throw this.notReady(method);
+    }
+  }
+
+  private propose(payload: { group: number; command: Proposal }): Promise<unknown> {
+    const host = this.hostOf(payload.group, 'propose');
+    return host.propose({ ...payload.command, atMs: Date.now() });
+  }
+
+  private async query(payload: { group: number; query: Query }): Promise<unknown> {
+    const host = this.hostOf(payload.group, 'query');
+    if (payload.query.type === 'inForce') {
+      await host.confirmLeadership();
+      return this.options.tableDuties.report(payload.query.revision);
+    }
+    return host.query(payload.query);
+  }
+
+  private async renew(payload: { group: number; leaseIds: string[] }): Promise<string[]> {
+    const host = this.hostOf(payload.group, 'renew');
+    await host.confirmLeadership();
+    return this.options.jobDuties.renew(host, payload.leaseIds, this.options.nowMs());
+  }
+
+  private async refresh(status: EntryStatus): Promise<unknown> {
+    const host = this.hostOf(TABLE_GROUP, 'refresh');
+    const delta = await host.query({ type: 'table', fromRevision: status.revision });
+    return { delta, entries: this.options.tableDuties.hear(status) };
+  }
+
+  private chunk({ group, file, offset, sizeBytes }: ChunkRequest): Uint8Array {
+    this.hostOf(group, 'chunk');
+    if (!FILE_NAME.test(file)) throw this.notReady('chunk');
+    return this.options.filesOf(group).readRaw(file, offset, sizeBytes);
+  }
+
+  private hostOf(group: number, step: string): GroupHost {
+    const host = this.options.hosts.get(group);
+    if (host === undefined) throw this.notReady(step);
+    return host;
+  }
+
+  private notReady(step: string): ShedlineError {
+    const { instance } = this.options;
+    const message = `${instance} does not serve this; ask another control instance`;
+    return new ShedlineError({ type: 'unavailable', message, step, peer: instance, ran: 'no' });
+  }
+}
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -2,14 +2,13 @@
  * Runs batch items on the endpoints that this entry owns, in the room that online work
  * leaves, and stops them at once when online work comes.
  */
-import { BatchHeadroom, BatchOwnership, allocateSlots, chooseStreamsToStop } from '@shedline/batch';
-import type { WaitingWork } from '@shedline/batch';
+import { BatchHeadroom, BatchOwnership, chooseStreamsToStop } from '@shedline/batch';
+import type { FreeSlots } from '@shedline/batch';
 import type { ControlClient } from '@shedline/control-client';
 import type { KnownEndpoint } from '@shedline/directory';
-import type { GrantAnswer, StartAnswer } from '@shedline/jobs';
 import type { Logger } from '@shedline/logger';
 import type { BurnRecorder, EntryMetrics } from '@shedline/metrics';
-import type { ItemLease, LeasedItem, ServiceRow } from '@shedline/types';
+import type { ServiceRow } from '@shedline/types';
 import type { EndpointDriver } from './endpoint-driver.js';
 import type { FleetView } from './fleet-view.js';
 import { HeldItems } from './held-items.js';
@@ -18,17 +17,14 @@
 import type { ItemRunOutcome } from './item-run.js';
 import { ResultCommitter } from './result-committer.js';
 import type { ServiceCalls } from './service-calls.js';
+import { WorkSource } from './work-source.js';
 
 const TICK_MS = 20;
 const OWNERSHIP_INTERVAL_MS = 500;
-const DEMAND_INTERVAL_MS = 200;
-const IDLE_DEMAND_INTERVAL_MS = 1000;
 const RENEW_INTERVAL_MS = 1500;
 /** Less than the lease of the store, so that streams stop before their items go to others. */
 const LEASE_TRUST_MS = 4500;
 const MAX_WAIT_HERE_MS = 3000;
-const MAX_GRANT = 64;
-const RATE_SMOOTHING = 0.3;
 /** Slots on plain services, which have no engine to protect. */
 const PLAIN_SLOTS = 8;
 
@@ -71,12 +67,9 @@
   private readonly committer: ResultCommitter;
   private readonly headrooms = new Map<string, BatchHeadroom>();
   private readonly streams = new Map<string, Stream>();
-  private readonly demands = new Map<number, WaitingWork[]>();
-  private readonly rates = new Map<string, { items: number; perSecond: number }>();
-  private readonly loading = new Map<number, Promise<void>>();
+  private readonly source: WorkSource;
   private timers: NodeJS.Timeout[] = [];
   private draining = false;
-  private asking = false;
 
   constructor(options: BatchRunnerOptions) {
     this.options = options;
@@ -86,6 +79,19 @@
       owner: options.leaseOwner,
       logger: options.logger,
     });
+    this.source = new WorkSource({
+      ...options,
+      entryCount: () => options.liveEntries().length,
+      onLease: (group, lease, askedAtMs) => {
+        this.held.add(group, [lease], askedAtMs);
+      },
+      onNotStarted: (group, jobId, indexes) => {
+        for (const index of indexes) {
+          const cause = 'start not confirmed';
+          this.committer.addReturn(group, { jobId, index, reason: 'notRun', cause });
+        }
+      },
+    });
   }
 
   /** Batch streams that run now. */
@@ -105,7 +111,7 @@
       void this.renewLeases();
     });
     this.every(1000, () => {
-      this.updateRates();
+      this.source.updateRates();
     });
     void this.askForever();
   }
@@ -301,7 +307,7 @@
     }
     this.held.close(held);
     this.committer.addResult(held.group, outcome.result);
-    this.rateOf(held.row).items += 1;
+    this.source.itemEnded(held.row);
     burn.record(held.row, 'batchDue', Date.now() <= held.lease.dueAtMs, nowMs);
     metrics.requestEnded(
       held.row,
@@ -347,81 +353,18 @@
   }
 
   private async askForever(): Promise<void> {
-    let lastFullLookMs = -Infinity;
     while (!this.draining) {
-      const nowMs = this.options.nowMs();
-      const idle = this.totalDemand() === 0;
-      const due = nowMs - lastFullLookMs >= (idle ? IDLE_DEMAND_INTERVAL_MS : DEMAND_INTERVAL_MS);
-      if (due && this.freeSlots(nowMs) > 0) {
-        lastFullLookMs = nowMs;
-        await this.lookAtDemand();
+      const slots = this.freeSlots(this.options.nowMs());
+      if (slots.length > 0) {
+        await this.source.look();
+        await this.source.ask(slots, this.held.waitingCount);
       }
-      await this.askForItems();
       await pause(TICK_MS);
     }
   }
 
-  private totalDemand(): number {
-    let total = 0;
-    for (const works of this.demands.values()) {
-      for (const work of works) total += work.pendingItems;
-    }
-    return total;
-  }
-
-  private async lookAtDemand(): Promise<void> {
-    const { control, logger } = this.options;
-    try {
-      const groupCount = await control.groupCount();
-      const groups = Array.from({ length: groupCount }, (_, index) => index + 1);
-      await Promise.all(groups.map((group) => this.lookAtGroup(group)));
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      logger.debug('demand not known', { step: 'look at demand', reason });
-    }
-  }
-
-  /** A group without a leader must not hold up the others. */
-  private lookAtGroup(group: number): Promise<void> {
-    const underWay = this.loading.get(group);
-    if (underWay !== undefined) return Promise.resolve();
-    const look = this.loadDemand(group).finally(() => this.loading.delete(group));
-    this.loading.set(group, look);
-    return Promise.race([look, pause(DEMAND_INTERVAL_MS)]);
-  }
-
-  private async loadDemand(group: number): Promise<void> {
-    const { control, fleet } = this.options;
-    try {
-      const demand = await control.demand(group);
-      const works = demand.flatMap((service): WaitingWork[] => {
-        const key = `${service.workspace}/${service.service}`;
-        const row = fleet.table.row(key);
-        if (row === undefined) return [];
-        return [
-          {
-            group,
-            row: key,
-            weight: row.weight,
-            models: row.kind === 'plain' ? [key] : row.models,
-            pendingItems: service.pendingItems,
-            neededItemsPerSecond: service.neededItemsPerSecond,
-            currentItemsPerSecond: this.rateOf(key).perSecond * this.options.liveEntries().length,
-          },
-        ];
-      });
-      this.demands.set(group, works);
-    } catch {
-      this.demands.delete(group);
-    }
-  }
-
-  /** Free slots on all owned endpoints beyond the items that wait here. */
-  private freeSlots(nowMs: number): number {
-    return this.freeSlotsByModel(nowMs).reduce((sum, { slots }) => sum + slots, 0);
-  }
-
-  private freeSlotsByModel(nowMs: number): { model: string; slots: number }[] {
+  /** Free slots on the endpoints that this entry owns. */
+  private freeSlots(nowMs: number): FreeSlots[] {
     const byModel = new Map<string, number>();
     for (const endpoint of this.ownedEndpoints(nowMs)) {
       const { endpointId, models, services } = endpoint.announcement;
@@ -432,97 +375,6 @@
     }
     return [...byModel].map(([model, slots]) => ({ model, slots }));
   }
-
-  private async askForItems(): Promise<void> {
-    if (this.asking || this.draining) return;
-    const nowMs = this.options.nowMs();
-    const slots = this.freeSlotsByModel(nowMs);
-    const waiting = [...this.demands.values()].flat().filter((work) => work.pendingItems > 0);
-    const room = slots.reduce((sum, entry) => sum + entry.slots, 0) - this.held.waitingCount;
-    if (room <= 0 || waiting.length === 0) return;
-    this.asking = true;
-    try {
-      const requests = allocateSlots(slots, waiting, this.options.random);
-      await Promise.all(requests.map((request) => this.grant(request)));
-    } finally {
-      this.asking = false;
-    }
-  }
-
-  private async grant(request: { group: number; row: string; maxItems: number }): Promise<void> {
-    const { control, leaseOwner, nowMs, logger } = this.options;
-    const [workspace = '', service = ''] = request.row.split('/');
-    const maxItems = Math.min(MAX_GRANT, request.maxItems);
-    // Known demand shrinks at once, so that the next round does not ask for it again.
-    const works = this.demands.get(request.group) ?? [];
-    this.demands.set(
-      request.group,
-      works.map((work) =>
-        work.row === request.row
-          ? { ...work, pendingItems: Math.max(0, work.pendingItems - maxItems) }
-          : work,
-      ),
-    );
-    try {
-      const askedAtMs = nowMs();
-      const answer = (await control.proposeJob(request.group, {
-        type: 'grantItems',
-        owner: leaseOwner,
-        workspace,
-        service,
-        maxItems,
-      })) as GrantAnswer;
-      for (const lease of answer.leases) await this.takeLease(request.group, lease, askedAtMs);
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      logger.debug('no items granted', { step: 'grant', group: request.group, reason });
-    }
-  }
-
-  private async takeLease(group: number, lease: ItemLease, askedAtMs: number): Promise<void> {
-    const items = lease.idempotent ? lease.items : await this.startItems(group, lease);
-    this.held.add(group, [{ ...lease, items }], askedAtMs);
-  }
-
-  /**
-   * Non-idempotent items are sent only once the log says that they are about to be. Where
-   * that stays unknown they were not sent, and go back as not run.
-   */
-  private async startItems(group: number, lease: ItemLease): Promise<readonly LeasedItem[]> {
-    const { leaseId, jobId, items } = lease;
-    const indexes = items.map(({ index }) => index);
-    try {
-      const command = { type: 'startItems', leaseId, jobId, indexes } as const;
-      const answer = (await this.options.control.proposeJob(group, command)) as StartAnswer;
-      return items.filter(({ index }) => answer.started.includes(index));
-    } catch {
-      for (const index of indexes) {
-        const itemReturn = {
-          jobId,
-          index,
-          reason: 'notRun',
-          cause: 'start not confirmed',
-        } as const;
-        this.committer.addReturn(group, itemReturn);
-      }
-      return [];
-    }
-  }
-
-  private rateOf(row: string): { items: number; perSecond: number } {
-    const known = this.rates.get(row);
-    if (known !== undefined) return known;
-    const fresh = { items: 0, perSecond: 0 };
-    this.rates.set(row, fresh);
-    return fresh;
-  }
-
-  private updateRates(): void {
-    for (const rate of this.rates.values()) {
-      rate.perSecond += RATE_SMOOTHING * (rate.items - rate.perSecond);
-      rate.items = 0;
-    }
-  }
 }
 
 function pause(pauseMs: number): Promise<void> {
