Name a bounded part of the fleet to each entry; lock data folders; tidy what stood twice

Besides, two daemons on one data folder would have written into the same log. Change: an answer names 24 entries, half of the asker's zone, others each time; a data folder is locked by a socket that the kernel frees; a caller that does not read is cut off; pauses, deadlines and codes of unsent requests stand once.

--- a/bench/src/online.ts
+++ b/bench/src/online.ts
@@ -147,6 +147,6 @@
 for (const scenario of SCENARIOS) {
   if (wanted.length > 0 && !wanted.includes(scenario.name)) continue;
   for (const way of ['shedline', 'naive'] as const) rows.push(await runOne(scenario, way));
+  await report('online', rows);
 }
-await report('online', rows);
 process.exit(0);
--- a/bench/src/slopes.ts
+++ b/bench/src/slopes.ts
@@ -405,6 +405,7 @@
   prefixes,
   table,
   watchers,
+  announces,
   idle,
 };
 const wanted = process.argv.slice(2);
--- a/bench/src/support/hosts.ts
+++ b/bench/src/support/hosts.ts
@@ -84,7 +84,17 @@
   }
 }
 
+const underWay = new Map<ChildProcess, Promise<unknown>>();
+
+/** Asks one thing after another: answers carry no name of their question. */
 function ask(child: ChildProcess, request: HostRequest): Promise<unknown> {
+  const before = underWay.get(child) ?? Promise.resolve();
+  const answer = before.then(() => askNow(child, request));
+  underWay.set(child, answer);
+  return answer;
+}
+
+function askNow(child: ChildProcess, request: HostRequest): Promise<unknown> {
   return new Promise((resolve) => {
     child.once('message', (message: { value?: unknown }) => {
       resolve(message.value);
--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -1,8 +1,11 @@
 #!/usr/bin/env node
 /**
- * Starts the command line. Daemons go on running after their command has begun.
+ * Starts the command line. Daemons go on running after their command has begun; one that could
+ * not begin ends, whatever it had opened by then.
  */
 import { hideBin } from 'yargs/helpers';
 import { cli } from './cli.js';
+import { EXIT_OK } from './exit-codes.js';
 
-process.exitCode = await cli(hideBin(process.argv));
+const code = await cli(hideBin(process.argv));
+if (code !== EXIT_OK) process.exit(code);
--- a/packages/cli/src/commands/job/index.ts
+++ b/packages/cli/src/commands/job/index.ts
@@ -1,12 +1,20 @@
 /**
  * `shedline job`: batch jobs.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { readFile } from 'node:fs/promises';
 import { SingleBar } from 'cli-progress';
 import type { Argv } from 'yargs';
 import type { JobItem, ShedlineClient } from '@shedline/client';
 import type { JobView } from '@shedline/types';
-import { print, printJson, remoteOptions, usageError, withClient } from '../../shared-options.js';
+import {
+  print,
+  printJson,
+  remoteOf,
+  remoteOptions,
+  usageError,
+  withClient,
+} from '../../shared-options.js';
 
 const DEFAULT_DUE_IN_MINUTES = 60;
 const MS_PER_MINUTE = 60_000;
@@ -34,11 +42,11 @@
             })
             .option('due', { type: 'string', describe: 'Due time, ISO 8601; default: in an hour' })
             .option('wait', { type: 'boolean', default: false, describe: 'Wait for the end' }),
-        (args) => withClient(remote(args), (client) => submit(client, args, remote(args).json)),
+        (args) => withClient(remoteOf(args), (client) => submit(client, args, remoteOf(args).json)),
       )
       .command('status <id>', 'Show a job', idOption, (args) =>
-        withClient(remote(args), async (client) => {
-          printJob(await client.job(args.id), remote(args).json);
+        withClient(remoteOf(args), async (client) => {
+          printJob(await client.job(args.id), remoteOf(args).json);
         }),
       )
       .command(
@@ -46,13 +54,13 @@
         'Print the results as NDJSON',
         (results) => idOption(results).option('from', { type: 'number', default: 0 }),
         (args) =>
-          withClient(remote(args), async (client) => {
+          withClient(remoteOf(args), async (client) => {
             process.stdout.write(await client.results(args.id, args.from));
           }),
       )
       .command('cancel <id>', 'Stop a job', idOption, (args) =>
-        withClient(remote(args), async (client) => {
-          printJob(await client.cancelJob(args.id), remote(args).json);
+        withClient(remoteOf(args), async (client) => {
+          printJob(await client.cancelJob(args.id), remoteOf(args).json);
         }),
       )
       .demandCommand(1, 'job: name a command: submit, status, results or cancel'),
@@ -63,10 +71,6 @@
   return argv.positional('id', { type: 'string', demandOption: true });
 }
 
-function remote(args: unknown): { url: string; token: string | undefined; json: boolean } {
-  return args as { url: string; token: string | undefined; json: boolean };
-}
-
 async function submit(
   client: ShedlineClient,
   args: { file: string; service: string; key: string; due: string | undefined; wait: boolean },
@@ -95,7 +99,7 @@
   bar?.start(submitted.counts.total, 0);
   let job = submitted;
   while (job.state === 'sealed' || job.state === 'open') {
-    await new Promise((resolve) => setTimeout(resolve, WAIT_INTERVAL_MS));
+    await pause(WAIT_INTERVAL_MS);
     job = await client.job(job.jobId);
     bar?.update(job.counts.total - job.counts.pending);
   }
--- a/packages/cli/src/commands/table/index.ts
+++ b/packages/cli/src/commands/table/index.ts
@@ -1,13 +1,21 @@
 /**
  * `shedline table`: the table of weights and limits.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import type { Argv } from 'yargs';
 import type { ShedlineClient } from '@shedline/client';
 import type { ServiceRow } from '@shedline/types';
 import { EXIT_DIFFERS } from '../../exit-codes.js';
-import { print, printJson, remoteOptions, usageError, withClient } from '../../shared-options.js';
+import {
+  print,
+  printJson,
+  remoteOf,
+  remoteOptions,
+  usageError,
+  withClient,
+} from '../../shared-options.js';
 
 const WATCH_INTERVAL_MS = 500;
 const IN_FORCE_TIMEOUT_MS = 20_000;
@@ -38,7 +46,7 @@
   return argv.command('table', 'Show and change the table', (table) =>
     remoteOptions(table)
       .command('show', 'Print the table', {}, (args) =>
-        withClient(remote(args), (client) => show(client, remote(args).json)),
+        withClient(remoteOf(args), (client) => show(client, remoteOf(args).json)),
       )
       .command(
         'set <row> <changes..>',
@@ -52,7 +60,7 @@
               describe: 'Table revision that the edit is based on',
             })
             .option('edit-id', { type: 'string', describe: 'Id of the edit; repeat it to resend' }),
-        (args) => withClient(remote(args), (client) => set(client, args, remote(args).json)),
+        (args) => withClient(remoteOf(args), (client) => set(client, args, remoteOf(args).json)),
       )
       .command(
         'apply <file>',
@@ -63,13 +71,13 @@
             default: true,
             describe: 'Wait until it is in force',
           }),
-        (args) => withClient(remote(args), (client) => apply(client, args.file, args.wait)),
+        (args) => withClient(remoteOf(args), (client) => apply(client, args.file, args.wait)),
       )
       .command('diff <file>', 'Show what `apply` would change', fileOption, (args) =>
-        withClient(remote(args), (client) => diff(client, args.file, remote(args).json)),
+        withClient(remoteOf(args), (client) => diff(client, args.file, remoteOf(args).json)),
       )
       .command('watch', 'Print each new revision', {}, (args) =>
-        withClient(remote(args), (client) => watch(client)),
+        withClient(remoteOf(args), (client) => watch(client)),
       )
       .demandCommand(1, 'table: name a command: show, set, apply, diff or watch'),
   );
@@ -79,10 +87,6 @@
   return argv.positional('file', { type: 'string', demandOption: true });
 }
 
-function remote(args: unknown): { url: string; token: string | undefined; json: boolean } {
-  return args as { url: string; token: string | undefined; json: boolean };
-}
-
 async function readTable(client: ShedlineClient): Promise<TableAnswer> {
   return (await client.json({ method: 'GET', path: '/v1/table', repeatable: true })) as TableAnswer;
 }
@@ -225,7 +229,3 @@
     await pause(WATCH_INTERVAL_MS);
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/cli/src/crash.test.ts
+++ b/packages/cli/src/crash.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
 import { ShedlineClient } from '@shedline/client';
@@ -31,10 +32,6 @@
   readonly response?: unknown;
 }
 
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
-
 function startEngine(fleet: ProcessFleet, number: number, incarnation: number): StandInEngine {
   return new StandInEngine({
     endpointId: `engine-${number}`,
--- a/packages/cli/src/dev-fleet.test.ts
+++ b/packages/cli/src/dev-fleet.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -34,7 +35,7 @@
 
 async function untilEnded(client: ShedlineClient, jobId: string): Promise<void> {
   while ((await client.job(jobId)).counts.pending > 0) {
-    await new Promise((resolve) => setTimeout(resolve, 50));
+    await pause(50);
   }
 }
 
--- a/packages/cli/src/dev-fleet.ts
+++ b/packages/cli/src/dev-fleet.ts
@@ -2,6 +2,7 @@
  * A whole fleet in one process: a control instance, an entry, a stand-in engine and a
  * stand-in plain service.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { randomBytes } from 'node:crypto';
 import { checkSettings } from '@shedline/config';
 import type { Settings } from '@shedline/config';
@@ -65,7 +66,7 @@
     await this.prepareTable();
     await this.entry.start();
     await this.startStandIns();
-    while (!this.isServing()) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    while (!this.isServing()) await pause(POLL_MS);
   }
 
   /** Stops without cutting a request. */
--- a/packages/cli/src/durability.test.ts
+++ b/packages/cli/src/durability.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import test from 'ava';
 import { ControlClient, RemoteControlPort } from '@shedline/control-client';
@@ -44,7 +45,7 @@
       ({ voters }) => voters.length === count && !voters.includes(without),
     );
     if (leading.length === 3 && whole) return;
-    await new Promise((resolve) => setTimeout(resolve, 100));
+    await pause(100);
   }
   throw new Error('the groups were not repaired in time');
 }
--- a/packages/cli/src/local-fleet.ts
+++ b/packages/cli/src/local-fleet.ts
@@ -1,6 +1,7 @@
 /**
  * A small fleet in the process of a test: one control instance, entries, stand-in engines.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -109,7 +110,7 @@
     const usable = (entry: EntryNode): number =>
       entry.fleet.endpoints.forModel(MODEL, performance.now()).length;
     while (!this.entries.every((entry) => usable(entry) === count)) {
-      await new Promise((resolve) => setTimeout(resolve, 20));
+      await pause(20);
     }
   }
 
--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { ShedlineClient } from '@shedline/client';
 import { ShedlineError } from '@shedline/errors';
@@ -164,9 +165,9 @@
         async (fleet) => {
           const [first] = fleet.engines;
           const running = fleet.urls.map((url, n) => ask(url, question(`running ${n}`)));
-          await new Promise((resolve) => setTimeout(resolve, 100));
+          await pause(100);
           await first?.leave();
-          await new Promise((resolve) => setTimeout(resolve, 200));
+          await pause(200);
           const before = first?.sends.size;
           const later = await Promise.all(
             Array.from({ length: 12 }, (_, n) =>
@@ -222,7 +223,7 @@
           engine: { times: { ...FAST, stepMs: 30 } },
         },
         async (fleet) => {
-          await new Promise((resolve) => setTimeout(resolve, 3000));
+          await pause(3000);
           const asked = await Promise.all(
             Array.from({ length: 60 }, (_, n) => ask(fleet.urls[n % 2] ?? '', question(`q ${n}`))),
           );
--- a/packages/cli/src/shared-options.ts
+++ b/packages/cli/src/shared-options.ts
@@ -31,6 +31,11 @@
     .option('json', { type: 'boolean', default: false, describe: 'Print JSON' });
 }
 
+/** The options of {@link remoteOptions} among the arguments of a command below it. */
+export function remoteOf(args: unknown): RemoteArguments {
+  return args as RemoteArguments;
+}
+
 /** A client by the options. */
 export function clientOf(args: RemoteArguments): ShedlineClient {
   if (args.token === undefined) {
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -2,6 +2,7 @@
  * The caller library: finds an entry, moves to another when one is lost, repeats only what is
  * safe, and gives whole answers or says honestly what it knows.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { createParser } from 'eventsource-parser';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -369,7 +370,3 @@
   if (!passing.includes(error.type)) return false;
   return error.ran === 'no' || repeatable || error.type === 'in_progress';
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/client/src/http-exchange.ts
+++ b/packages/client/src/http-exchange.ts
@@ -3,7 +3,7 @@
  */
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { ShedlineError, errorFromBody } from '@shedline/errors';
+import { ShedlineError, errorFromBody, provesNotSent } from '@shedline/errors';
 import type { ErrorBody } from '@shedline/errors';
 import type { Ran } from '@shedline/types';
 
@@ -25,13 +25,6 @@
   readonly body: Dispatcher.ResponseData['body'];
 }
 
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Sends a request; a refusal or a broken connection is thrown with what is known of it. */
 export async function exchange(options: ExchangeOptions): Promise<Exchange> {
   let response: Dispatcher.ResponseData;
@@ -53,7 +46,7 @@
 /** An error of a connection, with what it proves about the request. */
 export function connectionError(error: unknown, options: ExchangeOptions): ShedlineError {
   const code = (error as { code?: string }).code ?? '';
-  const ran: Ran = NOT_SENT_CODES.has(code) ? 'no' : 'unknown';
+  const ran: Ran = provesNotSent(error) ? 'no' : 'unknown';
   const reason = error instanceof Error ? error.message : String(error);
   return new ShedlineError({
     type: 'unavailable',
--- a/packages/control-client/src/control-client.ts
+++ b/packages/control-client/src/control-client.ts
@@ -2,6 +2,7 @@
  * Finds the leader of a group and repeats what may be repeated. Every command carries an
  * identity of its own, so a repeated one changes nothing twice.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { ShedlineError, toShedlineError } from '@shedline/errors';
 import { TABLE_GROUP, groupOf } from '@shedline/types';
 import type { JobView } from '@shedline/types';
@@ -214,7 +215,3 @@
   if (failure.ran === ran) return failure;
   return new ShedlineError({ ...failure.toBody(), ran });
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/control/src/cluster-finder.ts
+++ b/packages/control/src/cluster-finder.ts
@@ -1,6 +1,7 @@
 /**
  * Finds the cluster that a new instance belongs to, or forms it.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { ControlSettings } from '@shedline/config';
 import type { Logger } from '@shedline/logger';
 import type { PeerClient } from '@shedline/transport';
@@ -33,7 +34,7 @@
     if (plan.action === 'join') return plan.cluster;
     if (plan.action === 'form') return newCluster(plan.members, options.control);
     options.logger.debug('no cluster yet', { step: 'bootstrap', reason: plan.reason });
-    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+    await pause(PAUSE_MS);
   }
   return undefined;
 }
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -1,6 +1,7 @@
 /**
  * The control daemon: hosts the members of the log groups of one instance.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { Consensus, instanceOf } from '@shedline/consensus';
@@ -8,8 +9,8 @@
 import type { ControlPort, ControlStatus } from '@shedline/control-client';
 import type { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
-import { DiskItemFiles, NodeFileSystem, Storage } from '@shedline/storage';
-import type { RecoveredGroup } from '@shedline/storage';
+import { DiskItemFiles, NodeFileSystem, Storage, lockFolder } from '@shedline/storage';
+import type { RecoveredGroup, ReleaseLock } from '@shedline/storage';
 import { PeerClient, PeerServer } from '@shedline/transport';
 import { TABLE_GROUP } from '@shedline/types';
 import type { HelloAnswer } from './bootstrap.js';
@@ -67,6 +68,7 @@
   private readonly itemFiles = new Map<number, DiskItemFiles>();
   private recovered: ReadonlyMap<number, RecoveredGroup> = new Map();
   private storage: Storage | undefined;
+  private releaseLock: ReleaseLock | undefined;
   private memberId = '';
   private cluster: ClusterDocument | undefined;
   private timers: NodeJS.Timeout[] = [];
@@ -82,10 +84,10 @@
     const inBackground = (work: Promise<unknown>): void => {
       this.inBackground(work);
     };
-    const { control, logger, nowMs } = this;
+    const { control, logger, nowMs, random } = this;
     this.mailbox = new MemberMailbox(peer);
     this.jobDuties = new JobDuties({ control, inBackground });
-    this.tableDuties = new TableDuties({ control, logger, nowMs, inBackground });
+    this.tableDuties = new TableDuties({ control, logger, nowMs, random, inBackground });
     this.requests = new ControlRequests({
       instance: this.settings.name,
       hosts: this.hosts,
@@ -125,6 +127,7 @@
   async start(): Promise<void> {
     const files = new NodeFileSystem(this.control.dataDir);
     await files.prepare();
+    this.releaseLock = await lockFolder(this.control.dataDir);
     const storage = await Storage.open({
       files,
       onHealth: (failure) => {
@@ -151,6 +154,7 @@
     this.kill();
     await this.server.close();
     await this.storage?.close();
+    await this.releaseLock?.();
     for (const files of this.itemFiles.values()) files.closeAll();
   }
 
@@ -437,7 +441,3 @@
     });
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/control/src/table-duties.ts
+++ b/packages/control/src/table-duties.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '@shedline/logger';
 import { InForceTracker } from '@shedline/table';
 import type { EntryStatus, InForceReport } from '@shedline/table';
+import { sampleEntries } from '@shedline/routing';
 import type { GroupHost } from './group-host.js';
 import { OrderRunner } from './order-runner.js';
 import type { TableGroup } from './state-machine.js';
@@ -17,6 +18,7 @@
   readonly control: ControlSettings;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  readonly random: () => number;
   readonly inBackground: (work: Promise<unknown>) => void;
 }
 
@@ -50,11 +52,12 @@
     if (host.isLeading) this.options.inBackground(this.claimOrders(host, machine, memberId));
   }
 
-  /** Takes what an entry says of itself; gives the entries that hold their lease. */
+  /** Takes what an entry says of itself; gives some of the entries that hold their lease. */
   hear(status: EntryStatus): EntryStatus[] {
-    const nowMs = this.options.nowMs();
-    this.inForce.hear(status, nowMs);
-    return this.inForce.liveEntries(nowMs);
+    const { nowMs, random } = this.options;
+    this.inForce.hear(status, nowMs());
+    const live = this.inForce.liveEntries(nowMs());
+    return sampleEntries({ live, availabilityZone: status.availabilityZone, random });
   }
 
   /** Where a revision is in force. */
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -2,6 +2,7 @@
  * Runs batch items on the endpoints that this entry owns, in the room that online work
  * leaves, and stops them at once when online work comes.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { BatchHeadroom, BatchOwnership, chooseStreamsToStop } from '@shedline/batch';
 import type { FreeSlots } from '@shedline/batch';
 import type { ControlClient } from '@shedline/control-client';
@@ -376,7 +377,3 @@
     return [...byModel].map(([model, slots]) => ({ model, slots }));
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -6,10 +6,10 @@
 import { z } from 'zod';
 import type { ShedlineError } from '@shedline/errors';
 import { toShedlineError } from '@shedline/errors';
-import { DEADLINE_HEADER, SERVICE_HEADER, SESSION_HEADER, sha256Hex } from '@shedline/types';
+import { SERVICE_HEADER, SESSION_HEADER, sha256Hex } from '@shedline/types';
 import type { ServiceRow } from '@shedline/types';
 import type { CallClaimer } from './call-claimer.js';
-import { invalid, notFound, readJson } from './http-support.js';
+import { invalid, notFound, readJson, requestDeadlineMs } from './http-support.js';
 import type { EntryHttpContext } from './http-support.js';
 import { OnlineRun } from './online-run.js';
 import type { OnlineAnswer, OnlineContext, OnlineRequest } from './online-run.js';
@@ -37,6 +37,8 @@
 
 type Path = OnlineRequest['path'];
 
+/** Bytes of an answer that a caller may leave unread. */
+const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 const CALLER_GONE = new Error('the caller went away');
 
 /** What the handlers need. */
@@ -126,7 +128,7 @@
       prompt: promptText(body),
       sessionId: session?.sessionId,
       idempotent: row.idempotent,
-      deadlineMs: deadlineOf(c.req.header(DEADLINE_HEADER), row),
+      deadlineMs: requestDeadlineMs(c, row),
     };
     return { body, row, session, request, path };
   }
@@ -281,16 +283,11 @@
 
   private event(data: string): void {
     this.outgoing.write(`data: ${data}\n\n`);
+    // A caller that does not read must not fill the memory of the entry.
+    if (this.outgoing.writableLength > MAX_UNREAD_BYTES) this.outgoing.destroy();
   }
 }
 
-function deadlineOf(header: string | undefined, row: ServiceRow): number {
-  if (header === undefined) return row.defaultDeadlineMs;
-  const value = Number(header);
-  if (Number.isFinite(value) && value > 0) return value;
-  throw invalid(`${DEADLINE_HEADER}: must be a positive number of milliseconds`);
-}
-
 function answerBase(prepared: Prepared, streamed: boolean): Record<string, unknown> {
   const isChat = prepared.path === '/v1/chat/completions';
   const chatObject = streamed ? 'chat.completion.chunk' : 'chat.completion';
--- a/packages/entry/src/endpoint-driver.ts
+++ b/packages/entry/src/endpoint-driver.ts
@@ -6,6 +6,7 @@
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { SendProgress } from '@shedline/admission';
+import { provesNotSent } from '@shedline/errors';
 import { REQUEST_ID_HEADER } from '@shedline/types';
 import { AnswerCheck } from './answer-check.js';
 import type { Usage } from './answer-check.js';
@@ -78,13 +79,6 @@
 const CONNECT_TIMEOUT_MS = 500;
 const ABORT_REASON = new Error('the request was ended by this entry');
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-/** Errors that come before the first byte of a request goes out. */
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
 /** Answers by which an endpoint says that it did not run the request. */
 const REFUSED_STATUSES = new Set([429, 503]);
 const HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
@@ -305,8 +299,7 @@
 function failedSend(error: unknown, stalled: boolean): GenerateOutcome & { kind: 'failed' } {
   const message = error instanceof Error ? error.message : String(error);
   if (stalled) return failed('sent', 'the engine fell silent');
-  const code = (error as { code?: string }).code ?? '';
-  const progress = NOT_SENT_CODES.has(code) ? 'notSent' : 'sent';
+  const progress = provesNotSent(error) ? 'notSent' : 'sent';
   return { ...failed(progress, message), lost: progress === 'sent' };
 }
 
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -1,6 +1,7 @@
 /**
  * The entry daemon: wires the decisions of one entry to its connections and timers.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -394,7 +395,3 @@
     };
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/entry/src/http-support.ts
+++ b/packages/entry/src/http-support.ts
@@ -6,7 +6,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { z } from 'zod';
 import { ShedlineError } from '@shedline/errors';
-import { RAN_HEADER } from '@shedline/types';
+import { DEADLINE_HEADER, RAN_HEADER } from '@shedline/types';
+import type { ServiceRow } from '@shedline/types';
 
 /** Context of a handler on the Node.js server. */
 export type EntryHttpContext = Context<{ Bindings: HttpBindings }>;
@@ -90,6 +91,15 @@
   throw invalid(`${field === '' ? 'body' : field}: ${issue?.message ?? 'not accepted'}`);
 }
 
+/** Time that a caller gives its request, or that the row gives it. */
+export function requestDeadlineMs(c: EntryHttpContext, row: ServiceRow): number {
+  const header = c.req.header(DEADLINE_HEADER);
+  if (header === undefined) return row.defaultDeadlineMs;
+  const value = Number(header);
+  if (Number.isFinite(value) && value > 0) return value;
+  throw invalid(`${DEADLINE_HEADER}: must be a positive number of milliseconds`);
+}
+
 /** An error for bad input. */
 export function invalid(message: string): ShedlineError {
   return new ShedlineError({
--- a/packages/entry/src/result-committer.ts
+++ b/packages/entry/src/result-committer.ts
@@ -2,6 +2,7 @@
  * Commits results and returned items in groups, and repeats a commit until it is known to be
  * in the log: a commit that came twice changes nothing.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { ControlClient } from '@shedline/control-client';
 import type { Logger } from '@shedline/logger';
 import type { ItemResult, ItemReturn } from '@shedline/types';
@@ -105,7 +106,3 @@
     }
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/entry/src/service-calls.ts
+++ b/packages/entry/src/service-calls.ts
@@ -4,11 +4,11 @@
 import { ranAfter, mayRetry } from '@shedline/admission';
 import type { SendProgress } from '@shedline/admission';
 import { ShedlineError } from '@shedline/errors';
-import { DEADLINE_HEADER, rowKey, sha256Hex } from '@shedline/types';
+import { rowKey, sha256Hex } from '@shedline/types';
 import type { ServiceRow } from '@shedline/types';
 import type { CallClaimer, RecordedAnswer } from './call-claimer.js';
 import type { CallOutcome } from './endpoint-driver.js';
-import { invalid, notFound, readBody } from './http-support.js';
+import { notFound, readBody, requestDeadlineMs } from './http-support.js';
 import type { EntryHttpContext } from './http-support.js';
 import type { OnlineContext } from './online-run.js';
 
@@ -107,7 +107,7 @@
       path: pathBehind(c.env.incoming.url ?? '/', service),
       headers: passedHeaders(c),
       body,
-      deadlineMs: deadlineOf(c.req.header(DEADLINE_HEADER), row),
+      deadlineMs: requestDeadlineMs(c, row),
       idempotent: row.idempotent || SAFE_METHODS.has(method),
     };
   }
@@ -175,12 +175,6 @@
   return headers;
 }
 
-function deadlineOf(header: string | undefined, row: ServiceRow): number {
-  const value = header === undefined ? row.defaultDeadlineMs : Number(header);
-  if (Number.isFinite(value) && value > 0) return value;
-  throw invalid(`${DEADLINE_HEADER}: must be a positive number of milliseconds`);
-}
-
 function recordOf(answered: Answered): RecordedAnswer {
   const contentType = answered.headers['content-type'] ?? 'application/octet-stream';
   return { status: answered.status, contentType, body: answered.body };
--- a/packages/entry/src/work-source.ts
+++ b/packages/entry/src/work-source.ts
@@ -2,6 +2,7 @@
  * Where batch items come from: what waits in the job groups, and the leases that this entry
  * asks for by the room it has.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { allocateSlots } from '@shedline/batch';
 import type { FreeSlots, GrantRequest, WaitingWork } from '@shedline/batch';
 import type { ControlClient } from '@shedline/control-client';
@@ -194,7 +195,3 @@
     this.options.logger.debug(message, { step, reason });
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs));
-}
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -109,6 +109,19 @@
   return new ShedlineError(body);
 }
 
+/** Errors that come before the first byte of a request goes out. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Whether an error of a connection proves that no byte of the request went out. */
+export function provesNotSent(error: unknown): boolean {
+  return NOT_SENT_CODES.has((error as { code?: string }).code ?? '');
+}
+
 /** Any thrown value as a {@link ShedlineError}; what is one already stays as it is. */
 export function toShedlineError(
   error: unknown,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,3 +5,4 @@
 export * from './load-view.js';
 export * from './prefix-index.js';
 export * from './routing.js';
+export * from './sample-entries.js';
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -6,6 +6,7 @@
 import { LoadView } from './load-view.js';
 import { PrefixIndex } from './prefix-index.js';
 import { CostRouting } from './routing.js';
+import { sampleEntries } from './sample-entries.js';
 import type { Candidate } from './routing.js';
 
 const SEED = 41;
@@ -92,6 +93,26 @@
   );
 });
 
+describe('sampleEntries', () => {
+  test(
+    title('names all of a small fleet, a bounded part of a large one, and in time every entry'),
+    (t) => {
+      const random = seededRandom(5);
+      const fleet = (count: number) =>
+        Array.from({ length: count }, (_, n) => ({ name: n, availabilityZone: `z${n % 17}` }));
+      t.is(sampleEntries({ live: fleet(12), availabilityZone: 'z1', random }).length, 12);
+      const seen = new Set<number>();
+      for (let round = 0; round < 600; round += 1) {
+        const sample = sampleEntries({ live: fleet(360), availabilityZone: 'z1', random });
+        t.is(new Set(sample.map((entry) => entry.name)).size, 24);
+        t.is(sample.filter((entry) => entry.availabilityZone === 'z1').length, 12);
+        for (const entry of sample) seen.add(entry.name);
+      }
+      t.is(seen.size, 360);
+    },
+  );
+});
+
 describe('chooseAddresses', () => {
   const entry = fc.record({
     availabilityZone: fc.constantFrom('z1', 'z2', 'z3'),
--- a/packages/stand-ins/src/stand-in-service.ts
+++ b/packages/stand-ins/src/stand-in-service.ts
@@ -1,6 +1,7 @@
 /**
  * A stand-in plain service that counts each call.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { serve } from '@hono/node-server';
 import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
@@ -102,8 +103,8 @@
     this.callCount += 1;
     this.calls.set(key, (this.calls.get(key) ?? 0) + 1);
     const fault = parseFault(c.req.header('x-stand-in-fault'));
-    if (fault?.kind === 'late') await pause(LATE_MS);
-    if (fault?.kind === 'hang') await pause(NEVER_MS);
+    if (fault?.kind === 'late') await pause(LATE_MS, undefined, { ref: false });
+    if (fault?.kind === 'hang') await pause(NEVER_MS, undefined, { ref: false });
     if (fault?.kind === 'die') this.die();
     if (fault?.kind === 'refuse') return c.json({ error: 'service failed' }, 500);
     const url = new URL(c.req.url);
@@ -116,7 +117,3 @@
     });
   }
 }
-
-function pause(pauseMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, pauseMs).unref());
-}
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -2,6 +2,7 @@
  * Durable storage of a control instance.
  */
 export * from './file-system.js';
+export * from './folder-lock.js';
 export * from './item-files.js';
 export * from './recovered-group.js';
 export * from './storage.js';
--- a/packages/storage/src/storage.test.ts
+++ b/packages/storage/src/storage.test.ts
@@ -8,6 +8,7 @@
 import { describe, title } from '@shedline/test-utils';
 import { NodeFileSystem } from './file-system.js';
 import type { AppendFile, FileSystem } from './file-system.js';
+import { lockFolder } from './folder-lock.js';
 import { MemoryItemFiles } from './item-files.js';
 import { Storage } from './storage.js';
 
@@ -224,6 +225,20 @@
   );
 });
 
+describe('lockFolder', () => {
+  test(title('keeps a second holder out until the first lets go'), (t) =>
+    withFolder(async (folder) => {
+      const release = await lockFolder(folder);
+      const error = await t.throwsAsync(lockFolder(folder), { instanceOf: ShedlineError });
+      t.regex(error.message, /in use by another process/);
+      await release();
+      await (
+        await lockFolder(folder)
+      )();
+    }),
+  );
+});
+
 describe('ItemFiles', () => {
   test(title('refuses a record that does not match its checksum'), (t) => {
     const files = new MemoryItemFiles();
--- a/packages/storage/src/storage.ts
+++ b/packages/storage/src/storage.ts
@@ -2,6 +2,7 @@
  * Durable state of one control instance: one write-ahead log for all its groups, so that one
  * sync serves every group that waits, and one snapshot file a group.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import { pack, unpack } from 'msgpackr';
 import { ShedlineError } from '@shedline/errors';
 import type { HardState, SnapshotPosition } from '@shedline/consensus';
@@ -372,7 +373,3 @@
     cause: error,
   });
 }
-
-function delay(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
