--- a/packages/cli/src/dev-fleet.test.ts
+++ b/packages/cli/src/dev-fleet.test.ts
@@ -137,4 +137,31 @@
       t.is((await client.job(job.jobId)).received, 0);
     }),
   );
+
+  test.serial(title('a job on a non-idempotent plain service calls it once for each item'), (t) =>
+    withFleet(async (_fleet, client) => {
+      const calls = Array.from({ length: 20 }, (_, index) => ({
+        customId: `entry-${index}`,
+        body: { path: `/entries?n=${index}`, body: { find: index } },
+      }));
+      const submit = {
+        service: 'ledger',
+        jobKey: 'log',
+        dueAtMs: Date.now() + DAY_MS,
+        items: calls,
+      };
+      const job = await client.submitJob(submit);
+      t.false(job.idempotent);
+      await untilEnded(client, job.jobId);
+      const lines = (await client.results(job.jobId)).trim().split('\n');
+      const numbers = lines.map((line) => {
+        const { response } = JSON.parse(line) as { response: { body: { call: number } } };
+        return response.body.call;
+      });
+      t.deepEqual(
+        numbers.sort((a, b) => a - b),
+        Array.from({ length: 20 }, (_, index) => index + 1),
+      );
+    }),
+  );
 });
--- a/packages/cli/src/dev-fleet.ts
+++ b/packages/cli/src/dev-fleet.ts
@@ -20,6 +20,14 @@
 const DEV_MODEL = 'demo-model';
 const HOST = '127.0.0.1';
 const POLL_MS = 10;
+const DEV_ENGINE_CAPACITY = 64;
+/** A small fast engine, so that a newcomer's first job is soon done. */
+const DEV_ENGINE_TIMES = {
+  stepMs: 4,
+  perSequenceMs: 0.1,
+  perPrefillTokenMs: 0.01,
+  prefillTokensPerStep: 2048,
+};
 
 /** Options of {@link DevFleet}. */
 export interface DevFleetOptions {
@@ -85,7 +93,13 @@
       // A restarted stand-in is a new incarnation, as a restarted engine would be.
       incarnation: Date.now(),
     };
-    this.engine = new StandInEngine({ endpointId: 'engine-1', models: [DEV_MODEL], ...common });
+    this.engine = new StandInEngine({
+      endpointId: 'engine-1',
+      models: [DEV_MODEL],
+      times: DEV_ENGINE_TIMES,
+      capacity: DEV_ENGINE_CAPACITY,
+      ...common,
+    });
     const services = [`${DEV_WORKSPACE}/ledger`];
     this.service = new StandInService({ endpointId: 'ledger-1', services, ...common });
     await this.engine.start();
--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -201,6 +201,8 @@
         for (const index of [0, 1, 2]) {
           await fleet.entries[index]?.drain();
           await fleet.restartEntry(index);
+          const first = await ask(fleet.urls[index] ?? '', question('first words'));
+          t.true(first.isWhole, 'a restarted entry knows the endpoints before it listens');
           await fleet.untilUsable(3);
         }
         stop = true;
--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -7,8 +7,10 @@
  * {@link Consensus.takeReady} hands out what its driver has to sync, send and apply.
  */
 import { match } from 'ts-pattern';
+import { Followers } from './followers.js';
 import { MemoryLog } from './log.js';
-import { Progress } from './progress.js';
+import { PendingReads } from './pending-reads.js';
+import type { Progress } from './progress.js';
 import type {
   AppendMessage,
   AppendReply,
@@ -47,12 +49,6 @@
   readonly maxMessageBytes?: number;
 }
 
-interface PendingRead {
-  readonly readId: number;
-  index: number;
-  round: number;
-}
-
 /** Where a proposal stands, or why there is none. */
 export type ProposeOutcome =
   | { readonly accepted: true; readonly index: number; readonly term: number }
@@ -83,10 +79,10 @@
   private nextHeartbeatMs = 0;
   private quorumCheckMs = 0;
   private votes = new Map<string, boolean>();
-  private progress = new Map<string, Progress>();
+  private readonly followers: Followers;
   private round = 0;
   private heartbeatWanted = false;
-  private pendingReads: PendingRead[] = [];
+  private readonly pendingReads = new PendingReads();
   private transferTarget = '';
   private transferDeadlineMs = 0;
 
@@ -97,6 +93,7 @@
 
   constructor(options: ConsensusOptions) {
     this.memberId = options.memberId;
+    this.followers = new Followers(options.memberId);
     this.random = options.random;
     this.nowMs = options.nowMs;
     this.electionTimeoutMs = options.electionTimeoutMs ?? 1000;
@@ -167,7 +164,7 @@
   /** Matching index and silence of each member; only meaningful on a leader. */
   memberProgress(): ReadonlyMap<string, { matchIndex: number; silentMs: number }> {
     const result = new Map<string, { matchIndex: number; silentMs: number }>();
-    for (const [memberId, progress] of this.progress) {
+    for (const [memberId, progress] of this.followers.all) {
       result.set(memberId, {
         matchIndex: progress.matchIndex,
         silentMs: this.nowMs - progress.lastHeardMs,
@@ -248,7 +245,7 @@
   /** Asks for a linearizable read; it comes back in {@link Ready.reads}. False: not leader. */
   requestRead(readId: number): boolean {
     if (this.currentRole !== 'leader') return false;
-    this.pendingReads.push({ readId, index: -1, round: 0 });
+    this.pendingReads.add(readId);
     this.heartbeatWanted = true;
     return true;
   }
@@ -274,7 +271,7 @@
 
   /** Notes that a snapshot transfer ended; replication goes on from what matches. */
   snapshotSent(memberId: string): void {
-    this.progress.get(memberId)?.probeAgain();
+    this.followers.get(memberId)?.probeAgain();
   }
 
   /** Installs a snapshot that the driver has already synced. False: older than what is here. */
@@ -375,7 +372,7 @@
     }
     this.currentRole = 'follower';
     this.currentLeader = leaderId;
-    this.pendingReads = [];
+    this.pendingReads.clear();
     this.transferTarget = '';
     this.resetElectionDeadline();
   }
@@ -394,11 +391,9 @@
   }
 
   private hearsQuorum(): boolean {
-    const heard = this.quorumMembers().filter((memberId) => {
-      if (memberId === this.memberId) return true;
-      const progress = this.progress.get(memberId);
-      return progress !== undefined && this.nowMs - progress.lastHeardMs < this.electionTimeoutMs;
-    });
+    const heard = this.quorumMembers().filter((memberId) =>
+      this.followers.isHeard(memberId, this.electionTimeoutMs, this.nowMs),
+    );
     return heard.length >= this.quorumSize();
   }
 
@@ -457,37 +452,30 @@
   private becomeLeader(): void {
     this.currentRole = 'leader';
     this.currentLeader = this.memberId;
-    this.progress = new Map();
+    this.followers.clear();
     this.transferTarget = '';
-    this.pendingReads = [];
+    this.pendingReads.clear();
     this.quorumCheckMs = this.nowMs + this.electionTimeoutMs;
     this.adoptMembers();
     this.appendOwn('noop', NOTHING);
     this.heartbeatWanted = true;
   }
 
-  /** Keeps one progress for each other member of the configuration in force. */
   private adoptMembers(): void {
     const members = [...this.config.voters, ...this.config.learners];
-    for (const memberId of this.progress.keys()) {
-      if (!members.includes(memberId)) this.progress.delete(memberId);
-    }
-    for (const memberId of members) {
-      if (memberId === this.memberId || this.progress.has(memberId)) continue;
-      this.progress.set(memberId, new Progress(this.log.lastIndex + 1, this.nowMs));
-    }
+    this.followers.adopt(members, this.log.lastIndex + 1, this.nowMs);
   }
 
   private appendOwn(kind: LogEntry['kind'], data: Uint8Array, config?: GroupConfig): LogEntry {
     const position = { index: this.log.lastIndex + 1, term: this.term };
     const entry: LogEntry = { ...position, kind, data, ...(config ? { config } : {}) };
     this.log.append(entry);
-    for (const memberId of this.progress.keys()) this.replicateTo(memberId);
+    for (const memberId of this.followers.memberIds) this.replicateTo(memberId);
     return entry;
   }
 
   private replicateTo(memberId: string): void {
-    const progress = this.progress.get(memberId);
+    const progress = this.followers.get(memberId);
     if (progress === undefined) return;
     while (progress.maySend()) {
       const previousIndex = progress.nextIndex - 1;
@@ -518,8 +506,8 @@
     if (this.currentRole !== 'leader') return;
     this.round += 1;
     this.nextHeartbeatMs = this.nowMs + this.heartbeatIntervalMs;
-    this.stampReads();
-    for (const [to, progress] of this.progress) {
+    if (this.hasCommittedInTerm()) this.pendingReads.stamp(this.commit, this.round);
+    for (const [to, progress] of this.followers.all) {
       this.earlyMessages.push({
         type: 'heartbeat',
         from: this.memberId,
@@ -532,38 +520,13 @@
     this.releaseReads();
   }
 
-  /** Reads asked for before this round are confirmed by a quorum of it. */
-  private stampReads(): void {
-    if (!this.hasCommittedInTerm()) return;
-    for (const read of this.pendingReads) {
-      if (read.index >= 0) continue;
-      read.index = this.commit;
-      read.round = this.round;
-    }
-  }
-
   private releaseReads(): void {
     const confirmed = this.quorumValue((progress) => progress.ackedRound, this.round);
-    const waiting: PendingRead[] = [];
-    for (const read of this.pendingReads) {
-      if (read.index >= 0 && read.round <= confirmed) {
-        this.readyReads.push({ readId: read.readId, index: read.index });
-      } else {
-        waiting.push(read);
-      }
-    }
-    this.pendingReads = waiting;
+    this.readyReads.push(...this.pendingReads.release(confirmed));
   }
 
-  /** The highest value that a quorum has reached, `own` being this member's. */
   private quorumValue(valueOf: (progress: Progress) => number, own: number): number {
-    const values = this.quorumMembers().map((memberId) => {
-      if (memberId === this.memberId) return own;
-      const progress = this.progress.get(memberId);
-      return progress === undefined ? 0 : valueOf(progress);
-    });
-    values.sort((a, b) => b - a);
-    return values[this.quorumSize() - 1] ?? 0;
+    return this.followers.quorumValue(this.quorumMembers(), valueOf, own);
   }
 
   private hasCommittedInTerm(): boolean {
@@ -575,7 +538,7 @@
     if (index <= this.commit || this.log.termAt(index) !== this.term) return;
     this.commit = index;
     // Reads asked for before the first commit of the term wait for this.
-    if (this.pendingReads.some((read) => read.index < 0)) this.heartbeatWanted = true;
+    if (this.pendingReads.hasUnstamped) this.heartbeatWanted = true;
     this.stepDownIfRemoved();
   }
 
@@ -713,7 +676,7 @@
 
   private heardFrom(memberId: string): Progress | undefined {
     if (this.currentRole !== 'leader') return undefined;
-    const progress = this.progress.get(memberId);
+    const progress = this.followers.get(memberId);
     if (progress !== undefined) progress.lastHeardMs = this.nowMs;
     return progress;
   }
@@ -748,20 +711,19 @@
 
   /** Voters that were heard lately. */
   private successors(): string[] {
-    return this.otherVoters().filter((memberId) => {
-      const progress = this.progress.get(memberId);
-      return progress !== undefined && this.nowMs - progress.lastHeardMs < this.electionTimeoutMs;
-    });
+    return this.otherVoters().filter((memberId) =>
+      this.followers.isHeard(memberId, this.electionTimeoutMs, this.nowMs),
+    );
   }
 
   private bestSuccessor(): string | undefined {
-    const matchOf = (memberId: string): number => this.progress.get(memberId)?.matchIndex ?? 0;
+    const matchOf = (memberId: string): number => this.followers.get(memberId)?.matchIndex ?? 0;
     return this.successors().sort((a, b) => matchOf(b) - matchOf(a))[0];
   }
 
   private finishTransfer(): void {
     if (this.transferTarget === '') return;
-    const progress = this.progress.get(this.transferTarget);
+    const progress = this.followers.get(this.transferTarget);
     if (progress?.matchIndex !== this.log.lastIndex) return;
     this.messages.push({
       type: 'timeoutNow',
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -29,7 +29,7 @@
 import type { GroupStateMachine } from './state-machine.js';
 import { TableDuties } from './table-duties.js';
 
-const TICK_MS = 25;
+const TICK_MS = 50;
 const PRESENCE_INTERVAL_MS = 500;
 const PRESENCE_LEASE_MS = 3000;
 const DUTY_INTERVAL_MS = 500;
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -21,6 +21,8 @@
 import { WorkSource } from './work-source.js';
 
 const TICK_MS = 20;
+/** Time between two looks while there is nothing to run and nothing waits. */
+const IDLE_TICK_MS = 100;
 const OWNERSHIP_INTERVAL_MS = 500;
 const RENEW_INTERVAL_MS = 1500;
 /** Less than the lease of the store, so that streams stop before their items go to others. */
@@ -102,9 +104,7 @@
 
   /** Begins. */
   start(): void {
-    this.every(TICK_MS, () => {
-      this.tick();
-    });
+    void this.tickForever();
     this.every(OWNERSHIP_INTERVAL_MS, () => {
       this.updateOwnership();
     });
@@ -166,8 +166,19 @@
     this.ownership.update(ids, this.options.liveEntries(), nowMs);
   }
 
+  private async tickForever(): Promise<void> {
+    while (!this.draining) {
+      this.tick();
+      await pause(this.pauseMs());
+    }
+  }
+
+  private pauseMs(): number {
+    const idle = this.streams.size + this.held.waitingCount === 0 && !this.source.hasWork;
+    return idle ? IDLE_TICK_MS : TICK_MS;
+  }
+
   private tick(): void {
-    if (this.draining) return;
     const nowMs = this.options.nowMs();
     for (const held of this.held.takeOverdue(nowMs - MAX_WAIT_HERE_MS)) {
       this.handBack(held, 'no room');
@@ -360,7 +371,7 @@
         await this.source.look();
         await this.source.ask(slots, this.held.waitingCount);
       }
-      await pause(TICK_MS);
+      await pause(this.pauseMs());
     }
   }
 
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -70,6 +70,7 @@
   private server: ServerType | undefined;
   private url = '';
   private draining = false;
+  private isReady = false;
   private openRequests = 0;
   private requestCount = 0;
   private timers: NodeJS.Timeout[] = [];
@@ -121,12 +122,15 @@
     return this.entry.publicUrl ?? this.url;
   }
 
-  /** Reads the table through the quorum, then serves. */
+  /** Reads the table through the quorum, learns the endpoints from a peer, then serves. */
   async start(): Promise<void> {
     await this.firstRefresh();
+    await this.peers.start(this.desk.limits);
+    await this.peers.learnEndpoints();
     const listening = await this.listen();
     this.url = `http://${this.entry.listenHost}:${listening.port}`;
-    await this.peers.start(this.desk.limits);
+    this.isReady = true;
+    await this.reader.refresh();
     this.batch.start();
     this.every(this.entry.tableRefreshIntervalMs, () => {
       void this.reader.refresh();
@@ -318,7 +322,8 @@
       url: this.address,
       availabilityZone: this.settings.availabilityZone,
       revision: this.fleet.table.revision,
-      draining: this.draining,
+      // Nobody is sent to an entry that does not listen yet.
+      draining: this.draining || !this.isReady,
       load: this.fleet.utilization(this.nowMs()),
     };
   }
--- a/packages/entry/src/entry-peers.ts
+++ b/packages/entry/src/entry-peers.ts
@@ -24,9 +24,9 @@
 const QUOTA_TIMEOUT_MS = 400;
 const SPREAD_INTERVAL_MS = 200;
 const BURN_TIMEOUT_MS = 1000;
-const TABLE_TIMEOUT_MS = 500;
-/** Peers asked for their table in one look. */
-const MAX_TABLE_ASKS = 3;
+const ASK_TIMEOUT_MS = 500;
+/** Peers asked one after another until one answers. */
+const MAX_ASKED = 3;
 /** A connection that was not used for this long is closed. */
 const IDLE_LINK_MS = 60_000;
 
@@ -173,15 +173,31 @@
     return [...own, ...(await Promise.all(others)).flatMap((series) => series ?? [])];
   }
 
+  /** Learns from a peer of the cell which endpoints there are, so as not to start blind. */
+  async learnEndpoints(): Promise<void> {
+    const known = await this.askSome(this.liveCell(), 'endpoints', {});
+    if (known !== undefined) this.takeAnnouncements(known as SpreadMessage);
+  }
+
   /** The table of some peer that has reached control lately. */
   async askTable(fromRevision: number): Promise<PeerTable | undefined> {
-    const order = this.otherEntries().sort(() => this.options.random() - 0.5);
-    for (const peer of order.slice(0, MAX_TABLE_ASKS)) {
+    return (await this.askSome(this.liveEntries(), 'table', fromRevision)) as PeerTable | undefined;
+  }
+
+  /** The first answer that any of a few others gives. */
+  private async askSome(
+    names: readonly string[],
+    method: string,
+    payload: unknown,
+  ): Promise<unknown> {
+    const others = names.filter((name) => name !== this.self);
+    others.sort(() => this.options.random() - 0.5);
+    for (const name of others.slice(0, MAX_ASKED)) {
       try {
-        const answer = await this.linkTo(peer)?.request('table', fromRevision, TABLE_TIMEOUT_MS);
-        if (answer !== undefined && answer !== null) return answer as PeerTable;
+        const answer = await this.linkTo(name)?.request(method, payload, ASK_TIMEOUT_MS);
+        if (answer !== undefined && answer !== null) return answer;
       } catch {
-        // The next peer may be reachable.
+        // The next one may be reachable.
       }
     }
     return undefined;
@@ -242,12 +258,7 @@
       this.dispatch(this.membership.receive(payload as MembershipMessage, nowMs));
     }
     if (method === 'announcements') {
-      const { whole, short } = payload as SpreadMessage;
-      for (const [announcement, ageMs] of whole) fleet.observe(announcement, ageMs, nowMs);
-      for (const one of short) {
-        const { beat, ageMs } = heartbeatOf(one);
-        fleet.beat(beat, ageMs, nowMs);
-      }
+      this.takeAnnouncements(payload as SpreadMessage);
     }
     if (method === 'counts') this.takeCounts(payload as CountsMessage, peer, nowMs);
     if (method === 'yield') {
@@ -273,6 +284,7 @@
       return Promise.resolve(asks.map((ask) => this.owner.ask(ask, nowMs)));
     }
     if (method === 'table') return Promise.resolve(this.options.tableForPeer(payload as number));
+    if (method === 'endpoints') return Promise.resolve(this.knownEndpoints());
     if (method === 'burn') return Promise.resolve(this.options.burn.export(nowMs));
     const message = `entries answer no ${method}`;
     const error = new ShedlineError({
@@ -284,6 +296,25 @@
     return Promise.reject(error);
   }
 
+  private takeAnnouncements({ whole, short }: SpreadMessage): void {
+    const nowMs = this.options.nowMs();
+    for (const [announcement, ageMs] of whole)
+      this.options.fleet.observe(announcement, ageMs, nowMs);
+    for (const one of short) {
+      const { beat, ageMs } = heartbeatOf(one);
+      this.options.fleet.beat(beat, ageMs, nowMs);
+    }
+  }
+
+  private knownEndpoints(): SpreadMessage {
+    const nowMs = this.options.nowMs();
+    const live = this.options.fleet.endpoints.live(nowMs);
+    const whole = live.map(
+      ({ announcement, announcedAtMs }) => [announcement, nowMs - announcedAtMs] as const,
+    );
+    return { whole, short: [] };
+  }
+
   private takeCounts(counts: CountsMessage, peer: string, nowMs: number): void {
     for (const [endpointId, online, batch] of counts) {
       this.options.fleet.loads.peerCount(endpointId, peer, { online, batch }, nowMs);
--- a/packages/entry/src/item-run.ts
+++ b/packages/entry/src/item-run.ts
@@ -100,7 +100,8 @@
 async function runCall(options: ItemRunOptions, body: CompletionBody): Promise<ItemRunOutcome> {
   const { held, row, signal } = options;
   const call = callOf(body);
-  const outcome = await options.serviceCalls.sendItem(row, call, signal);
+  const key = `${held.lease.jobId}/${held.item.index}`;
+  const outcome = await options.serviceCalls.sendItem(row, { ...call, key }, signal);
   if (outcome.kind === 'failed') {
     if (outcome.progress !== 'sent') return returnOf(held, 'notRun', outcome.message, false);
     if (!held.lease.idempotent) return inDoubt(held, outcome.message);
--- a/packages/entry/src/service-calls.ts
+++ b/packages/entry/src/service-calls.ts
@@ -20,6 +20,15 @@
   readonly checkServing: () => void;
 }
 
+/** A call that a batch item makes. */
+export interface ItemCall {
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+  /** Names the item, the same on every attempt. */
+  readonly key: string;
+}
+
 interface PreparedCall {
   readonly row: ServiceRow;
   readonly method: string;
@@ -72,23 +81,23 @@
   }
 
   /** Sends a batch item's call; it is neither limited nor repeated. */
-  async sendItem(
-    row: ServiceRow,
-    item: { method: string; path: string; body: Buffer },
-    signal: AbortSignal,
-  ): Promise<CallOutcome> {
+  async sendItem(row: ServiceRow, item: ItemCall, signal: AbortSignal): Promise<CallOutcome> {
     const { context } = this.options;
     const endpoint = context.fleet.route(
       { row, prefixes: [], sessionId: undefined, excluded: new Set() },
       context.nowMs(),
     );
-    if (endpoint === undefined)
+    if (endpoint === undefined) {
       return { kind: 'failed', progress: 'notSent', message: 'no endpoint is up' };
-    const headers = { 'content-type': 'application/json' };
+    }
+    const { method, path, body, key } = item;
     return context.driver.call({
       url: endpoint.announcement.url,
-      ...item,
-      headers,
+      method,
+      path,
+      body,
+      // A service that knows keys can tell a repeated idempotent item by it.
+      headers: { 'content-type': 'application/json', 'idempotency-key': key },
       lane: 'batch',
       signal,
     });
--- a/packages/entry/src/work-source.ts
+++ b/packages/entry/src/work-source.ts
@@ -50,6 +50,11 @@
     this.options = options;
   }
 
+  /** Whether items wait anywhere, as of the last look. */
+  get hasWork(): boolean {
+    return this.totalWaiting() > 0;
+  }
+
   /** Looks at what waits, if it is time to. */
   async look(): Promise<void> {
     const nowMs = this.options.nowMs();
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -4,3 +4,4 @@
 export * from './describe.js';
 export * from './random.js';
 export * from './process-fleet.js';
+export * from './cuttable-relay.js';
