--- a/bench/src/online.ts
+++ b/bench/src/online.ts
@@ -14,8 +14,10 @@
 import type { ResultRow } from './support/report.js';
 
 const ZONES = ['zone-1', 'zone-2', 'zone-3'];
-const ENGINES = 12;
-const ENTRIES = 3;
+/** `--registry`: the size of the registry today; else a third of it. */
+const IS_REGISTRY = process.argv.includes('--registry');
+const ENGINES = IS_REGISTRY ? 48 : 12;
+const ENTRIES = IS_REGISTRY ? 9 : 3;
 const TIMES = { stepMs: 25, perSequenceMs: 2, perPrefillTokenMs: 0.05, prefillTokensPerStep: 1024 };
 /** Requests a second that the engines carry within their targets, found by trial. */
 const CAPACITY_RPS = 90;
@@ -105,7 +107,13 @@
     row: ROW,
     control: { voterCount: 3, electionTimeoutMs: 500 },
     entry: { endpointLeaseMs: 3000 },
-    engines: { engines: ENGINES, hosts: 2, times: TIMES, capacity: 16, cacheBlocks: 400 },
+    engines: {
+      engines: ENGINES,
+      hosts: IS_REGISTRY ? 3 : 2,
+      times: TIMES,
+      capacity: 16,
+      cacheBlocks: 400,
+    },
   });
   const hops = way === 'naive' ? await naiveHops(bench.hosts.urls) : undefined;
   const target =
@@ -142,7 +150,7 @@
   };
 }
 
-const wanted = process.argv.slice(2);
+const wanted = process.argv.slice(2).filter((argument) => !argument.startsWith('--'));
 const rows: ResultRow[] = [];
 for (const scenario of SCENARIOS) {
   if (wanted.length > 0 && !wanted.includes(scenario.name)) continue;
--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -241,6 +241,35 @@
       ),
   );
 
+  describe('orders', () => {
+    test.serial(
+      title('an order is carried out once, however often it is asked for, and the model is served'),
+      (t) =>
+        withFleet({ engines: 1, engine: { times: FAST, checksFencing: true } }, async (fleet) => {
+          const operator = fleet.operator();
+          const body = {
+            orderId: 'load-1',
+            endpointId: 'engine-1',
+            kind: 'loadModel',
+            subject: 'second-model',
+          };
+          const place = { method: 'POST', path: '/v1/orders', body, repeatable: true } as const;
+          await operator.json(place);
+          const state = async (): Promise<string | undefined> => {
+            const call = { method: 'GET', path: '/v1/orders', repeatable: true } as const;
+            const { orders } = (await operator.json(call)) as { orders: { state: string }[] };
+            return orders[0]?.state;
+          };
+          while ((await state()) !== 'done') await pause(50);
+          await operator.json(place);
+          await pause(700);
+          t.is(fleet.engines[0]?.orders.get('load-1'), 1);
+          t.true(fleet.engines[0]?.announcement().models.includes('second-model'));
+          await operator.close();
+        }),
+    );
+  });
+
   describe('sessions', () => {
     test.serial(title('any entry honours the token, other workspaces do not see it'), (t) =>
       withFleet({ entries: 2, engines: 2 }, async (fleet, caller) => {
--- a/packages/entry/src/online-run.ts
+++ b/packages/entry/src/online-run.ts
@@ -103,7 +103,9 @@
       const endpoint = this.chooseEndpoint();
       if (endpoint === undefined) throw this.noEndpoint();
       const outcome = await this.sendTo(endpoint);
-      if (outcome.kind === 'complete') return this.complete(outcome);
+      if (outcome.kind === 'complete') {
+        return this.complete(outcome, endpoint.announcement.endpointId);
+      }
       this.noteFailure(endpoint, outcome);
       if (this.request.signal.aborted) throw this.givenUp();
       if (!this.mayGoOn(outcome)) throw this.failure(endpoint, outcome);
@@ -192,11 +194,24 @@
     this.context.burn.record(this.service, 'betweenTokens', met, nowMs);
   }
 
-  private complete(outcome: GenerateOutcome & { kind: 'complete' }): OnlineAnswer {
-    const { desk, latencies, nowMs } = this.context;
+  private complete(
+    outcome: GenerateOutcome & { kind: 'complete' },
+    endpointId: string,
+  ): OnlineAnswer {
+    const { desk, latencies, logger, nowMs } = this.context;
     const usedTokens = outcome.usage?.total_tokens ?? this.tokens.length;
     desk.limits.chargeTokens(this.service, usedTokens);
-    latencies.record(this.service, 'online', 'wholeAnswer', nowMs() - this.startedMs);
+    const durationMs = nowMs() - this.startedMs;
+    latencies.record(this.service, 'online', 'wholeAnswer', durationMs);
+    logger.debug('request completed', {
+      requestId: this.request.requestId,
+      step: 'generate',
+      peer: endpointId,
+      service: this.service,
+      durationMs,
+      tokens: this.tokens.length,
+      attempts: this.sends.length + 1,
+    });
     return { finishReason: outcome.finishReason, usage: outcome.usage, tokens: this.tokens };
   }
 
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -2,7 +2,6 @@
  * Errors of shedline. Each carries the step and the peer at which it arose, whether the
  * request ran, and the HTTP status that a caller sees.
  */
-import { Result } from 'true-myth';
 import type { Ran } from '@shedline/types';
 
 /** Kinds of errors. */
@@ -131,15 +130,3 @@
   const message = error instanceof Error ? error.message : String(error);
   return new ShedlineError({ type: 'internal', message, cause: error, ...context });
 }
-
-/** Runs a promise and gives its failure as a Result. */
-export async function toResult<T>(
-  promise: Promise<T>,
-  context: { readonly step: string; readonly peer?: string },
-): Promise<Result<T, ShedlineError>> {
-  try {
-    return Result.ok(await promise);
-  } catch (error) {
-    return Result.err(toShedlineError(error, context));
-  }
-}
--- a/packages/stand-ins/src/stand-in-engine.ts
+++ b/packages/stand-ins/src/stand-in-engine.ts
@@ -70,7 +70,8 @@
   private server: ServerType | undefined;
   private announcer: Announcer | undefined;
   private readonly responses = new Set<ServerResponse>();
-  private readonly orders = new Map<string, number>();
+  /** Orders taken, by id. */
+  readonly orders = new Map<string, number>();
   private models: string[];
   private highestFencing = 0;
   private sequence = 0;
