Count outcomes by service where work is admitted; keep answers of calls within a bound

Cause: outcomes were counted under the workspace instead of the service; the admission and release of a request stood three times; an answer of any size to a claimed call went into the log. Change: the admission desk runs the work, counts how it ended and releases it; answers above 1 MiB are not recorded, and a resend is told of doubt.

--- a/bench/src/batch.ts
+++ b/bench/src/batch.ts
@@ -2,7 +2,7 @@
  * Batch beside online work, on real processes: the harm to the online tail and the idle
  * capacity harvested, for several positions of the dial, against batch off and against batch
  * sent as it comes. Then the time from an online burst until batch has yielded, and the store.
- * `node bench/dist/batch.js [mix|yield|items|memory]`.
+ * `node bench/dist/batch.js [mix|onTime|yield|items|memory]`.
  */
 import { writeFile } from 'node:fs/promises';
 import { MemoryItemFiles } from '@shedline/storage';
@@ -187,6 +187,75 @@
   ];
 }
 
+/** Jobs of both users beside online work: the large one is submitted first, the urgent one last. */
+async function onTime(): Promise<ResultRow[]> {
+  const rows: ResultRow[] = [];
+  const plans = [
+    {
+      user: 'registry',
+      dial: 0.2,
+      jobs: [
+        { items: 1200, dueInMs: 75_000 },
+        { items: 400, dueInMs: 35_000 },
+        { items: 100, dueInMs: 12_000 },
+      ],
+    },
+    {
+      user: 'Forma',
+      dial: 0.8,
+      jobs: [
+        { items: 1800, dueInMs: 75_000 },
+        { items: 600, dueInMs: 35_000 },
+        { items: 150, dueInMs: 12_000 },
+      ],
+    },
+  ];
+  for (const { user, dial, jobs } of plans) {
+    const bench = await startFleet(dial);
+    const target = new KeptAddresses(bench.fleet.entryUrls, seededRandom(2));
+    const load = runLoad(target, { ...SHAPE, durationMs: 60_000 });
+    const startedMs = Date.now();
+    const open = await Promise.all(
+      jobs.map(async ({ items: count, dueInMs }, position) => {
+        await pause(position * 200);
+        const dueAtMs = startedMs + dueInMs;
+        const job = await bench.caller.submitJob({
+          service: 'chat',
+          jobKey: `${user}-${position}`,
+          dueAtMs,
+          items: items(count),
+        });
+        return { jobId: job.jobId, count, dueInMs };
+      }),
+    );
+    const ends = await Promise.all(
+      open.map(async ({ jobId, count, dueInMs }) => {
+        let early = false;
+        while ((await bench.caller.job(jobId)).counts.pending > 0) {
+          early ||= (await bench.caller.job(jobId)).predictedLate;
+          await pause(200);
+        }
+        return { count, dueInMs, endedMs: Date.now() - startedMs, early };
+      }),
+    );
+    const online = summarize(await load);
+    for (const { count, dueInMs, endedMs, early } of ends) {
+      rows.push({
+        user,
+        items: count,
+        'due after s': dueInMs / 1000,
+        'ended after s': endedMs / 1000,
+        'on time': endedMs <= dueInMs ? 'yes' : 'no',
+        'called late': early ? 'yes' : 'no',
+        'online first p99 ms': Number(online['first p99 ms']),
+      });
+    }
+    await target.close();
+    await bench.close();
+  }
+  return rows;
+}
+
 /** Items a second from upload to result through one control instance and fast engines. */
 async function itemRate(): Promise<ResultRow[]> {
   const rows: ResultRow[] = [];
@@ -274,6 +343,7 @@
   memory,
   yield: yieldTimes,
   items: itemRate,
+  onTime,
   mix,
 };
 const wanted = process.argv.slice(2);
--- a/packages/entry/src/admission-desk.ts
+++ b/packages/entry/src/admission-desk.ts
@@ -4,24 +4,54 @@
 import { OverloadGate, RetryBudget, RowLimits } from '@shedline/admission';
 import type { QuotaHolder } from '@shedline/admission';
 import { ShedlineError } from '@shedline/errors';
+import type { EntryMetrics, RequestOutcome } from '@shedline/metrics';
 import { rowKey } from '@shedline/types';
 import type { ServiceRow } from '@shedline/types';
 import type { FleetView } from './fleet-view.js';
 
+/** Options of {@link AdmissionDesk}. */
+export interface AdmissionDeskOptions {
+  readonly fleet: FleetView;
+  readonly holder: QuotaHolder;
+  readonly metrics: EntryMetrics;
+  readonly nowMs: () => number;
+}
+
 /** Decides which online requests may run. */
 export class AdmissionDesk {
   readonly limits: RowLimits;
   private readonly fleet: FleetView;
+  private readonly metrics: EntryMetrics;
+  private readonly nowMs: () => number;
   private readonly gates = new Map<string, OverloadGate>();
   private readonly budgets = new Map<string, RetryBudget>();
 
-  constructor(fleet: FleetView, holder: QuotaHolder) {
-    this.fleet = fleet;
-    this.limits = new RowLimits(holder);
+  constructor(options: AdmissionDeskOptions) {
+    this.fleet = options.fleet;
+    this.metrics = options.metrics;
+    this.nowMs = options.nowMs;
+    this.limits = new RowLimits(options.holder);
+  }
+
+  /** Runs admitted work and counts how it ended; a refusal says that it did not run. */
+  async run<T>(row: ServiceRow, isOpenSession: boolean, work: () => Promise<T>): Promise<T> {
+    const service = rowKey(row.workspace, row.service);
+    let outcome: RequestOutcome = 'refused';
+    let release: (() => void) | undefined;
+    try {
+      release = this.admit(row, isOpenSession, this.nowMs());
+      outcome = 'failed';
+      const result = await work();
+      outcome = 'completed';
+      return result;
+    } finally {
+      release?.();
+      this.metrics.requestEnded(service, 'online', outcome);
+    }
   }
 
   /** Admits a request; throws a refusal that says that it did not run. Gives its release. */
-  admit(row: ServiceRow, isOpenSession: boolean, nowMs: number): () => void {
+  private admit(row: ServiceRow, isOpenSession: boolean, nowMs: number): () => void {
     const key = rowKey(row.workspace, row.service);
     const limited = this.limits.admit(key, row.limits, nowMs);
     if (!limited.admitted) {
@@ -48,6 +78,12 @@
     };
   }
 
+  /** Charges the tokens of an answer. */
+  charge(service: string, usedTokens: number, generatedTokens: number): void {
+    this.limits.chargeTokens(service, usedTokens);
+    this.metrics.generated(service, 'online', generatedTokens);
+  }
+
   /** The retry budget of a service. */
   budgetOf(key: string): RetryBudget {
     const known = this.budgets.get(key);
--- a/packages/entry/src/call-claimer.ts
+++ b/packages/entry/src/call-claimer.ts
@@ -27,6 +27,8 @@
 }
 
 const IN_PROGRESS_RETRY_MS = 500;
+/** Largest answer that is kept for resends. */
+const MAX_RECORDED_BYTES = 1024 * 1024;
 
 /** Claims keys in the durable state. */
 export class CallClaimer {
@@ -66,7 +68,12 @@
     const nothing = { status: 0, contentType: '', body: new Uint8Array(0) };
     try {
       const answer = await call.run();
-      await this.control.proposeJob(group, { ...finish, outcome: 'recorded', ...answer });
+      // An answer too large to keep is the caller's, but a resend can only be told of doubt.
+      const isKept = answer.body.length <= MAX_RECORDED_BYTES;
+      const end = isKept
+        ? ({ outcome: 'recorded', ...answer } as const)
+        : ({ outcome: 'inDoubt', ...nothing } as const);
+      await this.control.proposeJob(group, { ...finish, ...end });
       return answer;
     } catch (error) {
       const failure = toShedlineError(error, { step: 'call', peer: call.service, ran: 'unknown' });
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -103,13 +103,8 @@
     if (!prepared.request.idempotent && key !== undefined) {
       return this.answerClaimed(outgoing, prepared, key, abort.signal);
     }
-    const release = this.admit(prepared);
-    try {
-      if (prepared.body.stream === true) await this.stream(outgoing, prepared, abort.signal);
-      else await this.whole(outgoing, prepared, abort.signal);
-    } finally {
-      release();
-    }
+    if (prepared.body.stream === true) await this.stream(outgoing, prepared, abort.signal);
+    else await this.whole(outgoing, prepared, abort.signal);
     return RESPONSE_ALREADY_SENT;
   }
 
@@ -152,18 +147,14 @@
     throw notFound(`this session belongs to the service ${session.service}`);
   }
 
-  private admit(prepared: Prepared): () => void {
-    const { desk, nowMs } = this.options.context;
-    return desk.admit(prepared.row, prepared.session !== undefined, nowMs());
-  }
-
   private run(
     prepared: Prepared,
     signal: AbortSignal,
     onToken: (text: string) => void,
   ): Promise<OnlineAnswer> {
     const { context } = this.options;
-    return new OnlineRun(context, { ...prepared.request, signal, onToken }).run();
+    const run = new OnlineRun(context, { ...prepared.request, signal, onToken });
+    return context.desk.run(prepared.row, prepared.session !== undefined, () => run.run());
   }
 
   private async stream(
@@ -207,14 +198,9 @@
       requestHash: sha256Hex(JSON.stringify(prepared.body)),
       deadlineMs: prepared.request.deadlineMs,
       run: async () => {
-        const release = this.admit(prepared);
-        try {
-          const answer = await this.run(prepared, signal, () => undefined);
-          const body = Buffer.from(JSON.stringify(wholeBody(prepared, answer)));
-          return { status: 200, contentType: 'application/json', body };
-        } finally {
-          release();
-        }
+        const answer = await this.run(prepared, signal, () => undefined);
+        const body = Buffer.from(JSON.stringify(wholeBody(prepared, answer)));
+        return { status: 200, contentType: 'application/json', body };
       },
     });
     if (prepared.body.stream === true) {
--- a/packages/entry/src/endpoint-driver.ts
+++ b/packages/entry/src/endpoint-driver.ts
@@ -78,7 +78,6 @@
 
 const CONNECT_TIMEOUT_MS = 500;
 const ABORT_REASON = new Error('the request was ended by this entry');
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Answers by which an endpoint says that it did not run the request. */
 const REFUSED_STATUSES = new Set([429, 503]);
 const HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
@@ -331,6 +330,3 @@
   }
   return headers;
 }
-
-/** Largest answer of a plain service that is kept for resends. Bytes. */
-export const MAX_RECORDED_BYTES = MAX_ANSWER_BYTES;
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -113,7 +113,12 @@
         this.batch.yieldAt(endpointId);
       },
     });
-    this.desk = new AdmissionDesk(this.fleet, this.peers.holder);
+    this.desk = new AdmissionDesk({
+      fleet: this.fleet,
+      holder: this.peers.holder,
+      metrics: this.metrics,
+      nowMs: this.nowMs,
+    });
     this.batch = this.createBatch();
   }
 
@@ -276,9 +281,6 @@
         this.openRequests += change;
         this.metrics.setOpen('online', this.openRequests);
       },
-      ended: (service, outcome) => {
-        this.metrics.requestEnded(service, 'online', outcome);
-      },
       logger: this.logger,
     });
     const { listenHost, listenPort } = this.entry;
--- a/packages/entry/src/online-run.ts
+++ b/packages/entry/src/online-run.ts
@@ -200,7 +200,7 @@
   ): OnlineAnswer {
     const { desk, latencies, logger, nowMs } = this.context;
     const usedTokens = outcome.usage?.total_tokens ?? this.tokens.length;
-    desk.limits.chargeTokens(this.service, usedTokens);
+    desk.charge(this.service, usedTokens, this.tokens.length);
     const durationMs = nowMs() - this.startedMs;
     latencies.record(this.service, 'online', 'wholeAnswer', durationMs);
     logger.debug('request completed', {
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -8,7 +8,7 @@
 import type { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
 import { burnPage, burnReport, burnTable } from '@shedline/metrics';
-import type { BurnSeries, RequestOutcome } from '@shedline/metrics';
+import type { BurnSeries } from '@shedline/metrics';
 import { rowKey } from '@shedline/types';
 import type { Announcement } from '@shedline/types';
 import type { Authenticator, AuthRole } from './auth.js';
@@ -45,7 +45,6 @@
   readonly isServing: () => boolean;
   /** Counts requests under way. */
   readonly track: (change: 1 | -1) => void;
-  readonly ended: (service: string, outcome: RequestOutcome) => void;
   readonly logger: Logger;
 }
 
@@ -98,15 +97,10 @@
   return async (c: EntryHttpContext): Promise<Response> => {
     const workspace = options.authenticator.requireCaller(c.req.header('authorization'));
     options.track(1);
-    let outcome: RequestOutcome = 'completed';
     try {
       return await handler(c, workspace);
-    } catch (error) {
-      outcome = toShedlineError(error, { step: 'answer' }).ran === 'no' ? 'refused' : 'failed';
-      throw error;
     } finally {
       options.track(-1);
-      options.ended(workspace, outcome);
     }
   };
 }
--- a/packages/entry/src/service-calls.ts
+++ b/packages/entry/src/service-calls.ts
@@ -121,14 +121,8 @@
     };
   }
 
-  private async admitAndSend(call: PreparedCall): Promise<Answered> {
-    const { desk, nowMs } = this.options.context;
-    const release = desk.admit(call.row, false, nowMs());
-    try {
-      return await this.send(call);
-    } finally {
-      release();
-    }
+  private admitAndSend(call: PreparedCall): Promise<Answered> {
+    return this.options.context.desk.run(call.row, false, () => this.send(call));
   }
 
   private async send(call: PreparedCall): Promise<Answered> {
