--- a/packages/control/src/job-duties.ts
+++ b/packages/control/src/job-duties.ts
@@ -38,6 +38,7 @@
     this.endedBefore.set(host.group, ended);
     const rate = newlyEnded / (intervalMs / 1000);
     machine.itemsPerSecond += RATE_SMOOTHING * (rate - machine.itemsPerSecond);
+    machine.busyMs = machine.jobs.openJobs().length === 0 ? 0 : machine.busyMs + intervalMs;
   }
 
   /** Renews leases; gives those that are not open. */
--- a/packages/control/src/state-machine.ts
+++ b/packages/control/src/state-machine.ts
@@ -63,11 +63,16 @@
   }
 }
 
+/** Time that items must have been ending before a late end is foretold. */
+const MIN_BUSY_MS = 10_000;
+
 /** Jobs and call claims. */
 export class JobGroup implements GroupStateMachine {
   readonly jobs: Jobs;
   /** Items that ended a second lately, for the prediction of late ends. */
   itemsPerSecond = 0;
+  /** How long items have been ending; a young rate foretells nothing. */
+  busyMs = 0;
 
   constructor(files: ItemFiles) {
     this.jobs = new Jobs(files);
@@ -108,7 +113,7 @@
     const job = open.find((candidate) => candidate.jobId === jobId);
     if (job === undefined || job.openItems === 0) return false;
     if (job.dueAtMs <= wallMs) return true;
-    if (this.itemsPerSecond === 0) return false;
+    if (this.itemsPerSecond === 0 || this.busyMs < MIN_BUSY_MS) return false;
     const ahead = open.filter((candidate) => candidate.dueAtMs <= job.dueAtMs);
     const items = ahead.reduce((sum, candidate) => sum + candidate.openItems, 0);
     return wallMs + (items / this.itemsPerSecond) * 1000 > job.dueAtMs;
