--- a/packages/cli/src/crash.test.ts
+++ b/packages/cli/src/crash.test.ts
@@ -70,7 +70,7 @@
 
 describe('a fleet of processes', () => {
   test.serial(
-    title('ends every item exactly once while entries, engines and control leaders are killed'),
+    title('ends every item exactly once while entries, engines and control instances are killed'),
     async (t) => {
       const random = seededRandom(11);
       const fleet = await ProcessFleet.create({
