--- a/packages/batch/src/index.ts
+++ b/packages/batch/src/index.ts
@@ -5,3 +5,4 @@
 export * from './headroom.js';
 export * from './ownership.js';
 export * from './yielding.js';
+export * from './spare-slots.js';
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './schema.js';
 export * from './read-settings.js';
+export * from './fleet-schema.js';
--- a/packages/control-client/src/control-client.ts
+++ b/packages/control-client/src/control-client.ts
@@ -1,9 +1,6 @@
 /**
- * Finds the leader of a group and repeats what may be repeated. Every command carries an
- * identity of its own, so a repeated one changes nothing twice.
+ * Calls of entries and tools to the control instances of a fleet with listed peers.
  */
-import { setTimeout as pause } from 'node:timers/promises';
-import { ShedlineError, toShedlineError } from '@shedline/errors';
 import { TABLE_GROUP, groupOf } from '@shedline/types';
 import type { JobView } from '@shedline/types';
 import type { JobGroupAnswer, ServiceDemand } from '@shedline/jobs';
@@ -15,6 +12,7 @@
   TableCommand,
   TableDelta,
 } from '@shedline/table';
+import { LeaderCaller } from './leader-caller.js';
 import type {
   ControlMethod,
   ControlPort,
@@ -26,9 +24,6 @@
 } from './protocol.js';
 
 const DEFAULT_TIMEOUT_MS = 10_000;
-const MAX_ATTEMPT_MS = 3000;
-const FIRST_PAUSE_MS = 20;
-const MAX_PAUSE_MS = 500;
 
 /** Options of {@link ControlClient}. */
 export interface ControlClientOptions {
@@ -41,13 +36,13 @@
 export class ControlClient {
   private readonly ports: readonly ControlPort[];
   private readonly timeoutMs: number;
-  private readonly leaders = new Map<number, string>();
+  private readonly caller: LeaderCaller;
   private knownGroupCount = 0;
-  private nextPort = 0;
 
   constructor(options: ControlClientOptions) {
     this.ports = options.ports;
     this.timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.caller = new LeaderCaller({ ports: () => this.ports });
   }
 
   /** Number of job groups; asked for once. */
@@ -155,63 +150,12 @@
     return this.callLeader(method, -1, payload);
   }
 
-  private async callLeader(
+  private callLeader(
     method: ControlMethod,
     group: number,
     payload: unknown,
     timeoutMs = this.timeoutMs,
   ): Promise<unknown> {
-    const deadlineMs = performance.now() + timeoutMs;
-    let pauseMs = FIRST_PAUSE_MS;
-    let ran: 'no' | 'unknown' = 'no';
-    for (;;) {
-      const port = this.portFor(group);
-      const leftMs = deadlineMs - performance.now();
-      try {
-        return await port.call(method, payload, Math.max(1, Math.min(MAX_ATTEMPT_MS, leftMs)));
-      } catch (error) {
-        const failure = toShedlineError(error, { step: method, peer: port.name, ran: 'unknown' });
-        if (failure.ran !== 'no') ran = 'unknown';
-        const final = failure.type !== 'unavailable' || performance.now() + pauseMs > deadlineMs;
-        if (final) throw withRan(failure, ran);
-        if (!this.follow(group, failure)) {
-          await pause(pauseMs);
-          pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS);
-        }
-      }
-    }
-  }
-
-  private portFor(group: number): ControlPort {
-    const leader = this.leaders.get(group);
-    // A call to an instance that is down would wait for it; the others know who leads now.
-    const ready = this.ports.filter((port) => port.isReady);
-    const usable = ready.length > 0 ? ready : this.ports;
-    const known = usable.find((port) => port.name === leader);
-    const port = known ?? usable[this.nextPort % usable.length];
-    if (port === undefined) {
-      const message = 'no control instance is configured; set entry.controls';
-      throw new ShedlineError({ type: 'unavailable', message, step: 'call control' });
-    }
-    return port;
+    return this.caller.call(method, group, payload, timeoutMs);
   }
-
-  /** Goes where the failure points; false where it names nobody and a pause is due. */
-  private follow(group: number, failure: ShedlineError): boolean {
-    const before = this.leaders.get(group);
-    const leader = failure.details?.leader;
-    const named = this.ports.some((port) => port.name === leader && port.isReady);
-    if (typeof leader === 'string' && named && leader !== before) {
-      this.leaders.set(group, leader);
-      return true;
-    }
-    this.leaders.delete(group);
-    this.nextPort += 1;
-    return false;
-  }
-}
-
-function withRan(failure: ShedlineError, ran: 'no' | 'unknown'): ShedlineError {
-  if (failure.ran === ran) return failure;
-  return new ShedlineError({ ...failure.toBody(), ran });
 }
--- a/packages/control-client/src/index.ts
+++ b/packages/control-client/src/index.ts
@@ -4,3 +4,4 @@
 export * from './control-client.js';
 export * from './protocol.js';
 export * from './remote-port.js';
+export * from './leader-caller.js';
--- /dev/null
+++ b/packages/control-client/src/leader-caller.ts
@@ -0,0 +1,102 @@
+/**
+ * Finds the leader of a group and repeats what may be repeated. Every command carries an
+ * identity of its own, so a repeated one changes nothing twice.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import { ShedlineError, toShedlineError } from '@shedline/errors';
+
+const MAX_ATTEMPT_MS = 3000;
+const FIRST_PAUSE_MS = 20;
+const MAX_PAUSE_MS = 500;
+
+/** A process that may lead groups. */
+export interface CallPort {
+  readonly name: string;
+  /** Whether a call would go out now. */
+  readonly isReady: boolean;
+  call(method: string, payload: unknown, timeoutMs: number): Promise<unknown>;
+}
+
+/** Options of {@link LeaderCaller}. */
+export interface LeaderCallerOptions {
+  /** The processes to ask, as of now. */
+  readonly ports: () => readonly CallPort[];
+  /** Longest wait for one process before another is asked. */
+  readonly maxAttemptMs?: number;
+}
+
+/** Calls whichever process leads a group. */
+export class LeaderCaller {
+  private readonly ports: () => readonly CallPort[];
+  private readonly maxAttemptMs: number;
+  private readonly leaders = new Map<number, string>();
+  private nextPort = 0;
+
+  constructor(options: LeaderCallerOptions) {
+    this.ports = options.ports;
+    this.maxAttemptMs = options.maxAttemptMs ?? MAX_ATTEMPT_MS;
+  }
+
+  /** Calls until the leader has answered, a failure is final, or the time is up. */
+  async call(
+    method: string,
+    group: number,
+    payload: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const deadlineMs = performance.now() + timeoutMs;
+    let pauseMs = FIRST_PAUSE_MS;
+    let ran: 'no' | 'unknown' = 'no';
+    for (;;) {
+      const port = this.portFor(group);
+      const leftMs = deadlineMs - performance.now();
+      try {
+        const attemptMs = Math.max(1, Math.min(this.maxAttemptMs, leftMs));
+        return await port.call(method, payload, attemptMs);
+      } catch (error) {
+        const failure = toShedlineError(error, { step: method, peer: port.name, ran: 'unknown' });
+        if (failure.ran !== 'no') ran = 'unknown';
+        const final = failure.type !== 'unavailable' || performance.now() + pauseMs > deadlineMs;
+        if (final) throw withRan(failure, ran);
+        if (!this.follow(group, failure)) {
+          await pause(pauseMs);
+          pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS);
+        }
+      }
+    }
+  }
+
+  private portFor(group: number): CallPort {
+    const leader = this.leaders.get(group);
+    const ports = this.ports();
+    // A call to an instance that is down would wait for it; the others know who leads now.
+    const ready = ports.filter((port) => port.isReady);
+    const usable = ready.length > 0 ? ready : ports;
+    const known = usable.find((port) => port.name === leader);
+    const port = known ?? usable[this.nextPort % usable.length];
+    if (port === undefined) {
+      const message = 'no process that could lead the group is known yet';
+      throw new ShedlineError({ type: 'unavailable', message, step: 'call leader' });
+    }
+    return port;
+  }
+
+  /** Goes where the failure points; false where it names nobody and a pause is due. */
+  private follow(group: number, failure: ShedlineError): boolean {
+    const before = this.leaders.get(group);
+    const leader = failure.details?.leader;
+    const named = this.ports().some((port) => port.name === leader && port.isReady);
+    if (typeof leader === 'string' && named && leader !== before) {
+      this.leaders.set(group, leader);
+      return true;
+    }
+    this.leaders.delete(group);
+    this.nextPort += 1;
+    return false;
+  }
+}
+
+function withRan(failure: ShedlineError, ran: 'no' | 'unknown'): ShedlineError {
+  if (failure.ran === ran) return failure;
+  return new ShedlineError({ ...failure.toBody(), ran });
+}
--- a/packages/control/src/cluster-finder.ts
+++ b/packages/control/src/cluster-finder.ts
@@ -4,7 +4,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { ControlSettings } from '@shedline/config';
 import type { Logger } from '@shedline/logger';
-import type { PeerClient } from '@shedline/transport';
+import type { PeerBook } from '@shedline/transport';
 import { newCluster, planBootstrap } from './bootstrap.js';
 import type { HelloAnswer } from './bootstrap.js';
 import type { ClusterDocument } from './identity.js';
@@ -15,7 +15,7 @@
 /** Options of {@link findCluster}. */
 export interface FindClusterOptions {
   readonly hello: HelloAnswer;
-  readonly peers: ReadonlyMap<string, PeerClient>;
+  readonly peers: PeerBook;
   readonly control: ControlSettings;
   readonly logger: Logger;
   readonly isStopped: () => boolean;
@@ -41,9 +41,10 @@
 
 async function askPeers({ hello, peers }: FindClusterOptions): Promise<Map<string, HelloAnswer>> {
   const answers = new Map<string, HelloAnswer>([[hello.instance, hello]]);
-  const asked = [...peers].map(async ([name, peer]) => {
+  const asked = peers.names.map(async (name) => {
     try {
-      answers.set(name, (await peer.request('hello', {}, HELLO_TIMEOUT_MS)) as HelloAnswer);
+      const answer = await peers.get(name)?.request('hello', {}, HELLO_TIMEOUT_MS);
+      if (answer !== undefined) answers.set(name, answer as HelloAnswer);
     } catch {
       // A silent instance simply has no answer; the plan says whether that matters.
     }
--- a/packages/control/src/control-requests.ts
+++ b/packages/control/src/control-requests.ts
@@ -3,7 +3,6 @@
  */
 import type { ControlMethod, Proposal, Query } from '@shedline/control-client';
 import { ShedlineError } from '@shedline/errors';
-import type { DiskItemFiles } from '@shedline/storage';
 import type { EntryStatus } from '@shedline/table';
 import { TABLE_GROUP } from '@shedline/types';
 import type { GroupHost } from './group-host.js';
@@ -16,22 +15,11 @@
   readonly hosts: ReadonlyMap<number, GroupHost>;
   readonly jobDuties: JobDuties;
   readonly tableDuties: TableDuties;
-  readonly filesOf: (group: number) => DiskItemFiles;
   readonly nowMs: () => number;
   /** Job groups of the cluster; undefined while there is none. */
   readonly groupCount: () => number | undefined;
 }
 
-interface ChunkRequest {
-  readonly group: number;
-  readonly file: string;
-  readonly offset: number;
-  readonly sizeBytes: number;
-}
-
-/** Names of item files: nothing that leads out of their folder. */
-const FILE_NAME = /^[a-zA-Z0-9][a-zA-Z0-9.-]*$/;
-
 /** Answers requests once the instance is part of a cluster. */
 export class ControlRequests {
   private readonly options: ControlRequestsOptions;
@@ -44,7 +32,7 @@
   async answer(method: string, payload: unknown): Promise<unknown> {
     const groupCount = this.options.groupCount();
     if (groupCount === undefined) throw this.notReady(method);
-    switch (method as ControlMethod | 'manifest' | 'chunk') {
+    switch (method as ControlMethod) {
       case 'groups':
         return groupCount;
       case 'propose':
@@ -55,10 +43,6 @@
         return this.renew(payload as { group: number; leaseIds: string[] });
       case 'refresh':
         return this.refresh(payload as EntryStatus);
-      case 'manifest':
-        return this.hostOf((payload as { group: number }).group, method).manifest();
-      case 'chunk':
-        return this.chunk(payload as ChunkRequest);
       default:
         throw this.notReady(method);
     }
@@ -90,12 +74,6 @@
     return { delta, entries: this.options.tableDuties.hear(status) };
   }
 
-  private chunk({ group, file, offset, sizeBytes }: ChunkRequest): Uint8Array {
-    this.hostOf(group, 'chunk');
-    if (!FILE_NAME.test(file)) throw this.notReady('chunk');
-    return this.options.filesOf(group).readRaw(file, offset, sizeBytes);
-  }
-
   private hostOf(group: number, step: string): GroupHost {
     const host = this.options.hosts.get(group);
     if (host === undefined) throw this.notReady(step);
--- a/packages/control/src/group-host.ts
+++ b/packages/control/src/group-host.ts
@@ -118,7 +118,7 @@
   /** Answers a query as of a moment after it was asked. */
   async query(query: Query): Promise<unknown> {
     await this.confirmLeadership();
-    return this.machine.query(query, Date.now());
+    return this.machine.query?.(query, Date.now());
   }
 
   /** Resolves once a quorum has confirmed this leader and its state is current. */
--- a/packages/control/src/member-duties.ts
+++ b/packages/control/src/member-duties.ts
@@ -2,10 +2,10 @@
  * What a leader does about the members of its group: repair, and spreading the leaders.
  */
 import { planMembership } from '@shedline/consensus';
-import type { ControlSettings } from '@shedline/config';
 import type { Logger } from '@shedline/logger';
 import { rendezvousOrder } from '@shedline/types';
 import type { GroupHost } from './group-host.js';
+import type { GroupNodeSettings } from './group-node.js';
 
 /** Options of {@link repairMembers} and {@link spreadLeader}. */
 export interface MemberDutiesOptions {
@@ -13,13 +13,13 @@
   readonly memberId: string;
   /** Identities of the control instances that are up. */
   readonly liveIds: readonly string[];
-  readonly control: ControlSettings;
+  readonly settings: GroupNodeSettings;
   readonly logger: Logger;
 }
 
 /** Takes the next step of repair, if one is due. */
 export function repairMembers(options: MemberDutiesOptions): void {
-  const { host, control } = options;
+  const { host, settings } = options;
   const { consensus, group } = host;
   const members = new Map(
     [...consensus.memberProgress()].map(([memberId, progress]) => [
@@ -36,8 +36,8 @@
     selfId: options.memberId,
     members,
     liveIds: options.liveIds,
-    targetVoters: Math.min(control.voterCount, control.peers.length),
-    replaceAfterMs: control.replaceAfterMs,
+    targetVoters: settings.voterCount,
+    replaceAfterMs: settings.replaceAfterMs,
   });
   if (next === undefined || !host.changeMembers(next)) return;
   const { voters, learners } = next;
--- a/packages/control/src/state-machine.ts
+++ b/packages/control/src/state-machine.ts
@@ -22,7 +22,8 @@
 /** Deterministic state fed by the commands of one group. */
 export interface GroupStateMachine {
   apply(command: unknown, logIndex: number): unknown;
-  query(query: Query, wallMs: number): unknown;
+  /** Answers a query of a control client; groups that are read by other means have none. */
+  query?(query: Query, wallMs: number): unknown;
   snapshot(): Uint8Array;
   restore(state: Uint8Array): void;
   fileSizes(): readonly StateFile[];
--- /dev/null
+++ b/packages/fleet-control/src/control-process.ts
@@ -0,0 +1,327 @@
+/**
+ * The control process of a fleet that finds its members itself. With a disk it is a member of
+ * the fleet group; without one it passes questions and commands on to those that are.
+ */
+import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { FleetSettings } from '@shedline/config';
+import { GroupNode, newCluster, planBootstrap } from '@shedline/control';
+import type { ClusterDocument, GroupHost, HelloAnswer } from '@shedline/control';
+import { LeaderCaller } from '@shedline/control-client';
+import type { CallPort } from '@shedline/control-client';
+import { ShedlineError } from '@shedline/errors';
+import { EndpointRegister, configurationProblem } from '@shedline/fleet';
+import type {
+  AgedHeartbeat,
+  Configuration,
+  EndpointHeartbeat,
+  FleetAnswer,
+  FleetCommand,
+  FleetDelta,
+  FleetPosition,
+} from '@shedline/fleet';
+import type { Logger } from '@shedline/logger';
+import { FleetGroup, FLEET_GROUP } from './machines.js';
+import { groupSettings } from './group-settings.js';
+import { portsOf } from './peer-ports.js';
+import { seedAddresses } from './ports.js';
+import { ProcessCore } from './process-core.js';
+import { StoreFormation } from './store-formation.js';
+import type { RefreshAnswer, RefreshRequest } from './protocol.js';
+
+const HELLO_TIMEOUT_MS = 800;
+const JOIN_PAUSE_MS = 150;
+/** Operators and endpoints wait a second; an answer must come before that. */
+const CALL_TIMEOUT_MS = 850;
+/** Longest wait for one process while looking for the leader. */
+const MAX_ATTEMPT_MS = 400;
+const FORGET_INTERVAL_MS = 5000;
+/** Log groups of the stores; a fleet of more stores spreads them over more voters. */
+const JOB_GROUP_COUNT = 4;
+
+/** Options of {@link ControlProcess}. */
+export interface ControlProcessOptions {
+  readonly settings: FleetSettings;
+  readonly logger: Logger;
+  readonly random?: () => number;
+  readonly nowMs?: () => number;
+}
+
+/** Answer to a configuration that was put. */
+export interface PutAnswer {
+  readonly outcome: 'stored' | 'held' | 'invalid';
+  readonly message: string;
+}
+
+/** One control process. */
+export class ControlProcess {
+  readonly core: ProcessCore;
+  private readonly settings: FleetSettings;
+  private readonly logger: Logger;
+  private readonly nowMs: () => number;
+  private readonly register: EndpointRegister;
+  private readonly groups: GroupNode | undefined;
+  private readonly machine: FleetGroup;
+  private readonly caller: LeaderCaller;
+  private readonly formation = new StoreFormation();
+  private pushed: FleetPosition = { version: -1, leaveCount: 0 };
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+
+  constructor(options: ControlProcessOptions) {
+    this.settings = options.settings;
+    this.logger = options.logger;
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.core = new ProcessCore({
+      kind: 'control',
+      settings: this.settings,
+      logger: this.logger,
+      nowMs: this.nowMs,
+      record: controlRecord(this.settings),
+      handlers: {
+        onRequest: (method, payload) => this.onRequest(method, payload),
+        onMessage: (method, payload) => {
+          this.onMessage(method, payload);
+        },
+      },
+    });
+    this.register = new EndpointRegister(this.core.epoch);
+    this.machine = new FleetGroup(() => {
+      this.pushNews();
+    });
+    this.groups = this.createGroups(options.random ?? Math.random);
+    this.caller = new LeaderCaller({ ports: () => this.ports(), maxAttemptMs: MAX_ATTEMPT_MS });
+  }
+
+  /** Joins the fleet, or forms it with the other seeds. */
+  async start(): Promise<void> {
+    await this.groups?.open();
+    await this.core.listen();
+    if (this.groups !== undefined) this.core.mesh.update({ memberId: this.groups.memberId });
+    this.core.start();
+    this.timer = setInterval(() => {
+      this.register.forgetSilent(this.nowMs());
+    }, FORGET_INTERVAL_MS);
+    await this.groups?.join();
+    this.core.mesh.setState('ready');
+    this.logger.info('control process ready', { step: 'start' });
+  }
+
+  /** Hands leaderships over, then ends. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.core.mesh.setState('draining');
+    await this.groups?.stop();
+    clearInterval(this.timer);
+    await this.core.stop();
+  }
+
+  /** Puts a configuration in force; `document` is its text as sent. */
+  async putConfiguration(configuration: Configuration, document: string): Promise<PutAnswer> {
+    const problem = configurationProblem(configuration);
+    const { version } = configuration;
+    if (problem !== undefined) {
+      this.logger.info('configuration refused', { step: 'configure', version, reason: problem });
+      return { outcome: 'invalid', message: problem };
+    }
+    const answer = await this.propose({ type: 'putConfiguration', configuration, document });
+    this.logger.info('configuration acknowledged', {
+      step: 'configure',
+      version,
+      outcome: answer.outcome,
+      inForce: answer.version,
+    });
+    return { outcome: answer.outcome, message: `version ${answer.version} is in force` };
+  }
+
+  /** The configuration in force, as of a moment after the question; empty where there is none. */
+  async readDocument(): Promise<string> {
+    return (await this.callLeader('fleetDocument', {})) as string;
+  }
+
+  /** Takes a heartbeat of an endpoint and passes it on. */
+  takeHeartbeat(heartbeat: EndpointHeartbeat): void {
+    if (!this.register.hear(heartbeat, 0, this.nowMs())) return;
+    for (const control of this.core.mesh.controls.ready) {
+      control.send('heartbeats', [{ heartbeat, ageMs: 0 }]);
+    }
+  }
+
+  /** Records that an endpoint leaves; resolves once a quorum holds the record. */
+  async takeLeave(endpointId: string): Promise<void> {
+    if (this.machine.state.isLeaving(endpointId)) return;
+    const answer = await this.propose({ type: 'recordLeave', endpointId });
+    this.logger.info('endpoint leaves', {
+      step: 'leave',
+      endpoint: endpointId,
+      outcome: answer.outcome,
+    });
+  }
+
+  /** Whether a store is up under this instance name, and how many stores are up. */
+  findStore(instance: string): { readonly isKnown: boolean; readonly storeCount: number } {
+    const stores = this.core.mesh.live('store');
+    return {
+      isKnown: stores.some((store) => store.instance === instance),
+      storeCount: stores.length,
+    };
+  }
+
+  private propose(command: FleetCommand): Promise<FleetAnswer> {
+    return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
+  }
+
+  private callLeader(method: string, payload: unknown): Promise<unknown> {
+    return this.caller.call(method, FLEET_GROUP, payload, CALL_TIMEOUT_MS);
+  }
+
+  /** Processes that may lead the fleet group; this one first. */
+  private ports(): CallPort[] {
+    const remote = portsOf(this.core.mesh.controls);
+    if (this.groups === undefined) return remote;
+    const own: CallPort = {
+      name: this.core.name,
+      isReady: true,
+      call: (method, payload) => this.onRequest(method, payload),
+    };
+    return [own, ...remote];
+  }
+
+  private createGroups(random: () => number): GroupNode | undefined {
+    const { dataDir, toleratedLosses } = this.settings;
+    if (dataDir === undefined) return undefined;
+    return new GroupNode({
+      name: this.core.name,
+      settings: groupSettings(dataDir, toleratedLosses),
+      peers: this.core.mesh.controls,
+      logger: this.logger,
+      random,
+      nowMs: this.nowMs,
+      role: {
+        firstGroup: FLEET_GROUP,
+        createMachine: () => this.machine,
+        findCluster: (hello) => this.findCluster(hello),
+        roleChanged: () => undefined,
+        leaderTick: (host, nowMs) => {
+          this.formStores(host, nowMs);
+        },
+        housekeep: () => undefined,
+      },
+    });
+  }
+
+  /** Only the seeds of a fleet that starts for the first time may form its cluster. */
+  private async findCluster(hello: HelloAnswer): Promise<ClusterDocument | undefined> {
+    const { isFounding, seeds, firstPeerPort, toleratedLosses } = this.settings;
+    const founders = isFounding ? seedAddresses(seeds, firstPeerPort) : [];
+    const bootstrapMembers = founders.map((founder) => founder.name);
+    while (!this.stopped) {
+      const answers = await this.askControls(hello);
+      const plan = planBootstrap({ instance: this.core.name, bootstrapMembers, answers });
+      if (plan.action === 'join') return plan.cluster;
+      if (plan.action === 'form') {
+        this.logger.info('forms the fleet', { step: 'bootstrap', members: plan.members });
+        return newCluster(plan.members, { jobGroupCount: 0, voterCount: 2 * toleratedLosses + 1 });
+      }
+      this.logger.debug('no cluster yet', { step: 'bootstrap', reason: plan.reason });
+      await pause(JOIN_PAUSE_MS);
+    }
+    return undefined;
+  }
+
+  private async askControls(hello: HelloAnswer): Promise<Map<string, HelloAnswer>> {
+    const { controls } = this.core.mesh;
+    const answers = new Map<string, HelloAnswer>([[this.core.name, hello]]);
+    const asked = controls.names.map(async (name) => {
+      try {
+        const answer = await controls.get(name)?.request('hello', {}, HELLO_TIMEOUT_MS);
+        if (answer !== undefined) answers.set(name, answer as HelloAnswer);
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.logger.debug('no answer to hello', { step: 'bootstrap', peer: name, reason });
+      }
+    });
+    await Promise.all(asked);
+    return answers;
+  }
+
+  private formStores(host: GroupHost, nowMs: number): void {
+    if (this.machine.state.storeCluster !== undefined) return;
+    const founding = this.core.mesh.live('store').filter((store) => store.isFounding === true);
+    const ids = founding.flatMap((store) => store.memberId ?? []);
+    const voterCount = 2 * this.settings.toleratedLosses + 1;
+    const initialMembers = this.formation.plan(ids, voterCount, nowMs);
+    if (initialMembers === undefined) return;
+    const cluster = {
+      clusterId: randomUUID(),
+      initialMembers,
+      jobGroupCount: JOB_GROUP_COUNT,
+      voterCount,
+    };
+    this.logger.info('forms the stores', { step: 'bootstrap', members: initialMembers });
+    this.groups?.inBackground(host.propose({ type: 'formStores', cluster }));
+  }
+
+  /** Tells the connected processes what is new; they ask again later in any case. */
+  private pushNews(): void {
+    const delta = this.machine.state.deltaSince(this.pushed);
+    this.pushed = delta.position;
+    this.core.broadcast('fleetNews', delta);
+  }
+
+  private async onRequest(method: string, payload: unknown): Promise<unknown> {
+    const answer = this.groups?.answer(method, payload);
+    if (answer !== undefined) return answer;
+    switch (method) {
+      case 'fleetRefresh':
+        return this.refresh(payload as RefreshRequest);
+      case 'fleetPropose':
+        return this.leader(method).propose(payload);
+      case 'fleetDelta':
+        return this.currentDelta(payload as FleetPosition);
+      case 'fleetDocument':
+        await this.leader(method).confirmLeadership();
+        return this.machine.state.configurationDocument;
+      default:
+        throw this.unavailable(method, `${this.core.name} answers no ${method}`);
+    }
+  }
+
+  /** What this process knows, which may lag; never asked for where it must be current. */
+  private refresh(request: RefreshRequest): RefreshAnswer {
+    return {
+      delta: this.machine.state.deltaSince(request.position),
+      endpoints: this.register.since(request.epoch, request.cursor, this.nowMs()),
+    };
+  }
+
+  private async currentDelta(position: FleetPosition): Promise<FleetDelta> {
+    await this.leader('fleetDelta').confirmLeadership();
+    return this.machine.state.deltaSince(position);
+  }
+
+  private leader(step: string): GroupHost {
+    const host = this.groups?.hosts.get(FLEET_GROUP);
+    if (host === undefined) throw this.unavailable(step, 'this process holds no group');
+    return host;
+  }
+
+  private onMessage(method: string, payload: unknown): void {
+    if (this.groups?.onMessage(method, payload) === true) return;
+    if (method !== 'heartbeats') return;
+    for (const { heartbeat, ageMs } of payload as AgedHeartbeat[]) {
+      this.register.hear(heartbeat, ageMs, this.nowMs());
+    }
+  }
+
+  private unavailable(step: string, message: string): ShedlineError {
+    const peer = this.core.name;
+    return new ShedlineError({ type: 'unavailable', message, step, peer, ran: 'no' });
+  }
+}
+
+function controlRecord(settings: FleetSettings): { controlAddress?: string } {
+  const { control } = settings.listeners;
+  return control === undefined ? {} : { controlAddress: control };
+}
+
--- /dev/null
+++ b/packages/fleet-control/src/group-settings.ts
@@ -0,0 +1,28 @@
+/**
+ * Timings and sizes of the log groups of a fleet.
+ */
+import type { GroupNodeSettings } from '@shedline/control';
+
+/** Three missed heartbeats and a margin: an election costs less than a second. */
+const ELECTION_TIMEOUT_MS = 600;
+/** A follower learns of a commit within one of these. */
+const HEARTBEAT_INTERVAL_MS = 100;
+/** A voter that is silent for longer than a restart takes is replaced where a spare is up. */
+const REPLACE_AFTER_MS = 4000;
+/** Small disks bound the log: at most six segments are kept. Bytes. */
+const MAX_SEGMENT_BYTES = 2 * 1024 * 1024;
+/** Log bytes after which a group is snapshotted; about two segments. */
+const SNAPSHOT_AFTER_BYTES = 3 * 1024 * 1024;
+
+/** Settings of a group node that bears `toleratedLosses` losses at once. */
+export function groupSettings(dataDir: string, toleratedLosses: number): GroupNodeSettings {
+  return {
+    dataDir,
+    voterCount: 2 * toleratedLosses + 1,
+    electionTimeoutMs: ELECTION_TIMEOUT_MS,
+    heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+    replaceAfterMs: REPLACE_AFTER_MS,
+    snapshotAfterBytes: SNAPSHOT_AFTER_BYTES,
+    maxSegmentBytes: MAX_SEGMENT_BYTES,
+  };
+}
--- /dev/null
+++ b/packages/fleet-control/src/peer-ports.ts
@@ -0,0 +1,20 @@
+/**
+ * The peers of a process as places to call.
+ */
+import type { CallPort } from '@shedline/control-client';
+import type { PeerBook } from '@shedline/transport';
+
+/** A port for each peer. */
+export function portsOf(book: PeerBook): CallPort[] {
+  return book.names.flatMap((name): CallPort[] => {
+    const client = book.get(name);
+    if (client === undefined) return [];
+    return [
+      {
+        name,
+        isReady: client.isReady,
+        call: (method, payload, timeoutMs) => client.request(method, payload, timeoutMs),
+      },
+    ];
+  });
+}
--- /dev/null
+++ b/packages/fleet-control/src/process-core.ts
@@ -0,0 +1,106 @@
+/**
+ * What every process of a fleet has: a place in the mesh and a server for its peers.
+ */
+import { randomBytes } from 'node:crypto';
+import type { FleetSettings } from '@shedline/config';
+import type { Logger } from '@shedline/logger';
+import { Mesh } from '@shedline/mesh';
+import type { MemberKind, MemberRecord } from '@shedline/mesh';
+import { PeerServer } from '@shedline/transport';
+import type { Link, LinkHandlers } from '@shedline/transport';
+import { peerAddressOf, seedAddresses } from './ports.js';
+
+const EPOCH_BYTES = 6;
+
+/** Options of {@link ProcessCore}. */
+export interface ProcessCoreOptions {
+  readonly kind: MemberKind;
+  readonly settings: FleetSettings;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly handlers: LinkHandlers;
+  /** What this kind of process says of itself besides. */
+  readonly record?: Partial<MemberRecord>;
+  readonly onMembersChange?: () => void;
+}
+
+/** Mesh and server of one process. */
+export class ProcessCore {
+  /** `host:port` for peers; the name of the process in the fleet. */
+  readonly name: string;
+  readonly epoch = randomBytes(EPOCH_BYTES).toString('hex');
+  readonly mesh: Mesh;
+  readonly server: PeerServer;
+  private readonly options: ProcessCoreOptions;
+
+  constructor(options: ProcessCoreOptions) {
+    const { kind, settings, logger, nowMs, handlers } = options;
+    this.options = options;
+    const own = peerAddressOf(kind, settings.host, settings.firstPeerPort);
+    this.name = own.name;
+    this.mesh = new Mesh({
+      record: {
+        name: own.name,
+        kind,
+        host: own.host,
+        port: own.port,
+        instance: settings.instance,
+        availabilityZone: settings.availabilityZone,
+        epoch: this.epoch,
+        ...options.record,
+      },
+      secret: settings.fleetSecret,
+      seeds: seedAddresses(settings.seeds, settings.firstPeerPort),
+      logger,
+      nowMs,
+      handlers,
+      ...(options.onMembersChange === undefined ? {} : { onChange: options.onMembersChange }),
+    });
+    this.server = new PeerServer({
+      name: own.name,
+      secret: settings.fleetSecret,
+      handlers: {
+        onRequest: (method, payload, link) => handlers.onRequest(method, payload, link),
+        onMessage: (method, payload, link) => {
+          this.onMessage(method, payload, link);
+        },
+      },
+    });
+  }
+
+  /** Listens for peers; {@link start} makes the process known. */
+  async listen(): Promise<void> {
+    const { host, port } = this.mesh.self;
+    await this.server.listen(host, port);
+  }
+
+  /** Announces the process. */
+  start(): void {
+    this.mesh.start();
+  }
+
+  /** Takes settings that changed while the process runs. */
+  reload(settings: FleetSettings): void {
+    this.mesh.setSeeds(seedAddresses(settings.seeds, settings.firstPeerPort));
+    this.options.logger.info('settings reloaded', {
+      step: 'reload',
+      seeds: settings.seeds,
+    });
+  }
+
+  /** Sends a one-way message to every process that is connected to this one. */
+  broadcast(method: string, payload: unknown): void {
+    for (const link of this.server.readyLinks) link.send(method, payload);
+  }
+
+  /** Says goodbye and closes all connections. */
+  async stop(): Promise<void> {
+    this.mesh.stop();
+    await this.server.close();
+  }
+
+  private onMessage(method: string, payload: unknown, link: Link): void {
+    if (this.mesh.receive(method, payload, link)) return;
+    this.options.handlers.onMessage(method, payload, link);
+  }
+}
--- /dev/null
+++ b/packages/fleet-control/src/protocol.ts
@@ -0,0 +1,93 @@
+/**
+ * Requests between the processes of a fleet.
+ */
+import type { FleetDelta, FleetPosition, RegisterDelta } from '@shedline/fleet';
+import type {
+  FailedItem,
+  FinishedItem,
+  ItemRef,
+  ResultsPage,
+  SubmitJob,
+  SubmittedItem,
+} from '@shedline/whole-jobs';
+
+/** What a reader has from one control process. */
+export interface RefreshRequest {
+  readonly position: FleetPosition;
+  /** Register that the cursor belongs to. */
+  readonly epoch: string;
+  readonly cursor: number;
+}
+
+/** What is new since. */
+export interface RefreshAnswer {
+  readonly delta: FleetDelta;
+  readonly endpoints: RegisterDelta;
+}
+
+/** A job as an entry submits it; the leader adds its clock. */
+export type JobSubmission = Omit<SubmitJob, 'type' | 'atMs'>;
+
+/** Asks for items to run. */
+export interface GrantRequest {
+  readonly holder: string;
+  readonly quotaKey: string;
+  readonly maxItems: number;
+}
+
+/** An item that its holder is to run. */
+export interface GrantedItem {
+  readonly jobId: string;
+  readonly index: number;
+  readonly host: string;
+  readonly path: string;
+  readonly submittedAtMs: number;
+  readonly item: SubmittedItem;
+}
+
+/** Answer to {@link GrantRequest}. */
+export interface GrantAnswer {
+  readonly items: readonly GrantedItem[];
+  /** Items under the quota key that still wait for a holder. */
+  readonly waitingItems: number;
+}
+
+/** What a holder still has. */
+export interface RenewRequest {
+  readonly holder: string;
+  readonly refs: readonly ItemRef[];
+}
+
+/** Results and failed runs of a holder. */
+export interface RunReport {
+  readonly finished: readonly FinishedItem[];
+  readonly failed: readonly FailedItem[];
+}
+
+/** Asks for results. */
+export interface ResultsRequest {
+  readonly jobId: string;
+  readonly position: number;
+  readonly maxBytes: number;
+  /** Longest wait for a first result. */
+  readonly waitMs: number;
+}
+
+/** Asks for the body of an item. */
+export interface BodyRequest {
+  readonly jobId: string;
+  readonly itemId: string;
+}
+
+/** Results; undefined where there is no such job. */
+export type ResultsAnswer = ResultsPage | undefined;
+
+/** Body of an item; undefined where there is none. */
+export interface BodyAnswer {
+  readonly body: Uint8Array | undefined;
+}
+
+/** Message to entries: a job was ended, its items must stop. */
+export interface JobEndedMessage {
+  readonly jobId: string;
+}
--- /dev/null
+++ b/packages/fleet-control/src/store-process.ts
@@ -0,0 +1,318 @@
+/**
+ * The store process: holds whole jobs in log groups and hands out their items.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { FleetSettings } from '@shedline/config';
+import { GroupNode } from '@shedline/control';
+import type { ClusterDocument, GroupHost } from '@shedline/control';
+import { ShedlineError } from '@shedline/errors';
+import { KnownFleet } from '@shedline/fleet';
+import type { Logger } from '@shedline/logger';
+import { PeerBook } from '@shedline/transport';
+import { ItemDispenser } from '@shedline/whole-jobs';
+import type { ItemRef, WholeJobCommand } from '@shedline/whole-jobs';
+import { WholeJobGroup } from './machines.js';
+import { groupSettings } from './group-settings.js';
+import { ProcessCore } from './process-core.js';
+import type {
+  BodyAnswer,
+  BodyRequest,
+  GrantAnswer,
+  GrantRequest,
+  JobEndedMessage,
+  RefreshAnswer,
+  RenewRequest,
+  ResultsAnswer,
+  ResultsRequest,
+} from './protocol.js';
+
+const FIRST_JOB_GROUP = 1;
+const JOIN_PAUSE_MS = 200;
+const REFRESH_TIMEOUT_MS = 800;
+/** Time that items stay with an entry that says nothing; entries renew every second. */
+const ITEM_LEASE_MS = 4000;
+/** Clocks differ a little, and a reader may come late. */
+const RETENTION_MARGIN_MS = 30_000;
+
+/** Options of {@link StoreProcess}. */
+export interface StoreProcessOptions {
+  readonly settings: FleetSettings;
+  readonly logger: Logger;
+  readonly random?: () => number;
+  readonly nowMs?: () => number;
+}
+
+/** A request to the leader of a group. */
+interface GroupRequest<T> {
+  readonly group: number;
+  readonly body: T;
+}
+
+/** One store process. */
+export class StoreProcess {
+  readonly core: ProcessCore;
+  private readonly settings: FleetSettings;
+  private readonly logger: Logger;
+  private readonly nowMs: () => number;
+  private readonly stores: PeerBook;
+  private readonly groups: GroupNode;
+  private readonly fleet = new KnownFleet();
+  private readonly dispensers = new Map<number, ItemDispenser>();
+  /** Readers that wait for a result, by job. */
+  private readonly readers = new Map<string, Set<() => void>>();
+  private stopped = false;
+
+  constructor(options: StoreProcessOptions) {
+    this.settings = options.settings;
+    this.logger = options.logger;
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.core = new ProcessCore({
+      kind: 'store',
+      settings: this.settings,
+      logger: this.logger,
+      nowMs: this.nowMs,
+      handlers: {
+        onRequest: (method, payload) => this.onRequest(method, payload),
+        onMessage: (method, payload) => {
+          this.groups.onMessage(method, payload);
+        },
+      },
+      onMembersChange: () => {
+        this.connectStores();
+      },
+    });
+    this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
+    this.groups = this.createGroups(options.random ?? Math.random);
+  }
+
+  /** Joins the cluster of the stores. */
+  async start(): Promise<void> {
+    await this.groups.open();
+    await this.core.listen();
+    this.core.mesh.update({
+      memberId: this.groups.memberId,
+      isFounding: this.settings.isFounding,
+    });
+    this.core.start();
+    await this.groups.join();
+    this.core.mesh.setState('ready');
+    this.logger.info('store process ready', { step: 'start' });
+  }
+
+  /** Hands leaderships over, then ends. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.core.mesh.setState('draining');
+    await this.groups.stop();
+    this.stores.close();
+    await this.core.stop();
+  }
+
+  private createGroups(random: () => number): GroupNode {
+    const { dataDir, toleratedLosses } = this.settings;
+    if (dataDir === undefined) {
+      const message = 'dataDir: a store needs a folder for its state';
+      throw new ShedlineError({ type: 'invalid_request', message, step: 'read settings' });
+    }
+    return new GroupNode({
+      name: this.core.name,
+      settings: groupSettings(dataDir, toleratedLosses),
+      peers: this.stores,
+      logger: this.logger,
+      random,
+      nowMs: this.nowMs,
+      role: {
+        firstGroup: FIRST_JOB_GROUP,
+        createMachine: (group, files) =>
+          new WholeJobGroup(files, (command) => {
+            this.applied(group, command);
+          }),
+        findCluster: () => this.findCluster(),
+        roleChanged: (host) => {
+          if (host.isLeading) this.dispenserOf(host.group).becameLeader(this.nowMs());
+        },
+        leaderTick: (host, nowMs) => {
+          const { machine } = host;
+          if (machine instanceof WholeJobGroup) {
+            this.dispenserOf(host.group).sweep(machine.jobs, nowMs);
+          }
+        },
+        housekeep: (host) => {
+          this.sweep(host);
+        },
+      },
+    });
+  }
+
+  /** The control processes say which stores formed the cluster. */
+  private async findCluster(): Promise<ClusterDocument | undefined> {
+    while (!this.stopped) {
+      for (const control of this.core.mesh.controls.ready) {
+        try {
+          const request = { position: this.fleet.position, epoch: '', cursor: 0 };
+          const answer = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
+          this.fleet.take((answer as RefreshAnswer).delta);
+        } catch (error) {
+          const reason = error instanceof Error ? error.message : String(error);
+          const peer = control.peerName;
+          this.logger.debug('cluster not known', { step: 'bootstrap', peer, reason });
+        }
+        if (this.fleet.storeCluster !== undefined) return this.fleet.storeCluster;
+      }
+      await pause(JOIN_PAUSE_MS);
+    }
+    return undefined;
+  }
+
+  private connectStores(): void {
+    const live = this.core.mesh.live('store');
+    for (const { name, host, port } of live) this.stores.add({ name, host, port });
+    const voters = [...this.groups.hosts.values()].flatMap((host) => host.consensus.config.voters);
+    const wanted = new Set([
+      ...live.map((store) => store.name),
+      ...voters.map((voter) => voter.split('#')[0] ?? voter),
+    ]);
+    this.stores.keepOnly(wanted);
+  }
+
+  private dispenserOf(group: number): ItemDispenser {
+    const known = this.dispensers.get(group);
+    if (known !== undefined) return known;
+    const fresh = new ItemDispenser({ leaseMs: ITEM_LEASE_MS });
+    this.dispensers.set(group, fresh);
+    return fresh;
+  }
+
+  private sweep(host: GroupHost): void {
+    const retentionMs = this.settings.jobRetentionS * 1000 + RETENTION_MARGIN_MS;
+    this.groups.inBackground(host.propose({ type: 'sweep', atMs: Date.now(), retentionMs }));
+  }
+
+  /** Wakes those that wait for what a command brought. */
+  private applied(group: number, command: WholeJobCommand): void {
+    if (command.type === 'commitRuns') {
+      const changed = [...command.finished, ...command.failed];
+      for (const jobId of new Set(changed.map((run) => run.jobId))) this.wakeReaders(jobId);
+    }
+    if (command.type !== 'endJob') return;
+    this.wakeReaders(command.jobId);
+    if (this.groups.hosts.get(group)?.isLeading !== true) return;
+    this.core.broadcast('jobEnded', { jobId: command.jobId } satisfies JobEndedMessage);
+  }
+
+  private wakeReaders(jobId: string): void {
+    const waiting = this.readers.get(jobId);
+    this.readers.delete(jobId);
+    for (const wake of waiting ?? []) wake();
+  }
+
+  private async onRequest(method: string, payload: unknown): Promise<unknown> {
+    const answer = this.groups.answer(method, payload);
+    if (answer !== undefined) return answer;
+    const { group, body } = payload as GroupRequest<unknown>;
+    const host = this.groups.hosts.get(group);
+    if (host === undefined || !(host.machine instanceof WholeJobGroup)) {
+      throw this.unavailable(method, `group ${group} is not open here`);
+    }
+    const { machine } = host;
+    switch (method) {
+      case 'submitJob':
+      case 'commitRuns':
+      case 'endJob':
+        return host.propose({ ...(body as object), type: method, atMs: Date.now() });
+      case 'jobResults':
+        return this.results(host, machine, body as ResultsRequest);
+      case 'itemBody':
+        return this.itemBody(host, machine, body as BodyRequest);
+      case 'grantItems':
+        return this.grant(host, machine, body as GrantRequest);
+      case 'renewItems':
+        return this.renew(host, machine, body as RenewRequest);
+      case 'releaseItems':
+        return this.release(group, body as RenewRequest);
+      default:
+        throw this.unavailable(method, `${this.core.name} answers no ${method}`);
+    }
+  }
+
+  private async results(
+    host: GroupHost,
+    machine: WholeJobGroup,
+    request: ResultsRequest,
+  ): Promise<ResultsAnswer> {
+    const { jobId, position, maxBytes, waitMs } = request;
+    await host.confirmLeadership();
+    const page = machine.jobs.results(jobId, position, maxBytes);
+    if (page === undefined || page.results.length > 0 || waitMs <= 0) return page;
+    if (machine.jobs.get(jobId)?.isOpen !== true) return page;
+    await this.untilChanged(jobId, waitMs);
+    await host.confirmLeadership();
+    return machine.jobs.results(jobId, position, maxBytes);
+  }
+
+  private untilChanged(jobId: string, waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting = this.readers.get(jobId) ?? new Set();
+      const wake = (): void => {
+        clearTimeout(timer);
+        waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      waiting.add(wake);
+      this.readers.set(jobId, waiting);
+    });
+  }
+
+  private async itemBody(
+    host: GroupHost,
+    machine: WholeJobGroup,
+    request: BodyRequest,
+  ): Promise<BodyAnswer> {
+    await host.confirmLeadership();
+    const job = machine.jobs.get(request.jobId);
+    if (job === undefined || job.isEnded) return { body: undefined };
+    return { body: job.findItem(request.itemId)?.body };
+  }
+
+  private grant(host: GroupHost, machine: WholeJobGroup, request: GrantRequest): GrantAnswer {
+    this.requireLeading(host, 'grantItems');
+    const { jobs } = machine;
+    const dispenser = this.dispenserOf(host.group);
+    const granted = dispenser.grant(jobs, request, this.nowMs());
+    const items = granted.map(({ job, index }) => {
+      const { jobId, host: jobHost, path, submittedAtMs } = job.identity;
+      return { jobId, index, host: jobHost, path, submittedAtMs, item: job.item(index) };
+    });
+    return { items, waitingItems: dispenser.unheldCount(jobs, request.quotaKey, this.nowMs()) };
+  }
+
+  private renew(host: GroupHost, machine: WholeJobGroup, request: RenewRequest): ItemRef[] {
+    this.requireLeading(host, 'renewItems');
+    const dispenser = this.dispenserOf(host.group);
+    return dispenser.renew(machine.jobs, request.holder, request.refs, this.nowMs());
+  }
+
+  private release(group: number, request: RenewRequest): true {
+    this.dispenserOf(group).release(request.holder, request.refs);
+    return true;
+  }
+
+  private requireLeading(host: GroupHost, step: string): void {
+    if (host.isLeading) return;
+    const leader = host.consensus.leaderId.split('#')[0] ?? '';
+    throw this.unavailable(step, `does not lead group ${host.group}`, leader);
+  }
+
+  private unavailable(step: string, message: string, leader = ''): ShedlineError {
+    const peer = this.core.name;
+    return new ShedlineError({
+      type: 'unavailable',
+      message,
+      step,
+      peer,
+      ran: 'no',
+      details: { leader },
+    });
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/fleet-state.ts
@@ -0,0 +1,175 @@
+/**
+ * State machine of the fleet group: the configuration in force, the endpoints that have said
+ * that they leave, and the cluster of the stores. What is in here was acknowledged by a quorum
+ * and never reverts.
+ */
+import { match } from 'ts-pattern';
+import type { Configuration } from './configuration.js';
+
+/** Leave records kept; an endpoint is gone long before its record is dropped. */
+const MAX_LEAVE_RECORDS = 4000;
+
+/** Puts a configuration in force if its version is the highest. */
+export interface PutConfiguration {
+  readonly type: 'putConfiguration';
+  readonly configuration: Configuration;
+  /** The text that the operator sent; read back unchanged. */
+  readonly document: string;
+}
+
+/** Records for good that an endpoint leaves. */
+export interface RecordLeave {
+  readonly type: 'recordLeave';
+  readonly endpointId: string;
+}
+
+/** Forms the cluster of the stores; the first one counts. */
+export interface FormStores {
+  readonly type: 'formStores';
+  readonly cluster: StoreCluster;
+}
+
+/** The cluster of the stores as it was formed. */
+export interface StoreCluster {
+  readonly clusterId: string;
+  /** Identities of the stores that formed it. */
+  readonly initialMembers: readonly string[];
+  readonly jobGroupCount: number;
+  readonly voterCount: number;
+}
+
+/** Any command of the fleet group. */
+export type FleetCommand = PutConfiguration | RecordLeave | FormStores;
+
+/** Answer to a command; `outcome` says whether the state changed. */
+export interface FleetAnswer {
+  readonly ok: true;
+  readonly outcome: 'stored' | 'held';
+  /** Version in force after the command. */
+  readonly version: number;
+}
+
+/** How far a reader knows the state. */
+export interface FleetPosition {
+  /** Version known; -1 for none. */
+  readonly version: number;
+  /** Leave records known. */
+  readonly leaveCount: number;
+}
+
+/** What a reader lacks. */
+export interface FleetDelta {
+  readonly position: FleetPosition;
+  readonly configuration?: Configuration;
+  /** Endpoints that leave, those that the reader lacks. */
+  readonly leaving: readonly string[];
+  readonly stores?: StoreCluster;
+}
+
+/** Plain form of the state. */
+interface FleetData {
+  readonly configuration: Configuration | undefined;
+  readonly document: string;
+  readonly leaving: readonly string[];
+  readonly forgottenLeaves: number;
+  readonly stores: StoreCluster | undefined;
+}
+
+/** The replicated state of a fleet. */
+export class FleetState {
+  private configuration: Configuration | undefined;
+  private document = '';
+  private leaving: string[] = [];
+  private leavingIds = new Set<string>();
+  private forgottenLeaves = 0;
+  private stores: StoreCluster | undefined;
+
+  /** Where the state stands. */
+  get position(): FleetPosition {
+    return {
+      version: this.configuration?.version ?? -1,
+      leaveCount: this.forgottenLeaves + this.leaving.length,
+    };
+  }
+
+  /** The cluster of the stores; undefined before it is formed. */
+  get storeCluster(): StoreCluster | undefined {
+    return this.stores;
+  }
+
+  /** The text of the configuration in force; empty before the first one. */
+  get configurationDocument(): string {
+    return this.document;
+  }
+
+  /** Whether an endpoint has said that it leaves. */
+  isLeaving(endpointId: string): boolean {
+    return this.leavingIds.has(endpointId);
+  }
+
+  /** Applies a command. */
+  apply(command: FleetCommand): FleetAnswer {
+    const changed = match(command)
+      .with({ type: 'putConfiguration' }, (c) => this.putConfiguration(c))
+      .with({ type: 'recordLeave' }, (c) => this.recordLeave(c.endpointId))
+      .with({ type: 'formStores' }, (c) => this.formStores(c.cluster))
+      .exhaustive();
+    const outcome = changed ? 'stored' : 'held';
+    return { ok: true, outcome, version: this.position.version };
+  }
+
+  /** What a reader at `known` lacks. */
+  deltaSince(known: FleetPosition): FleetDelta {
+    const { position, configuration, stores } = this;
+    const isOlder = configuration !== undefined && configuration.version > known.version;
+    const from = Math.max(0, known.leaveCount - this.forgottenLeaves);
+    return {
+      position,
+      leaving: this.leaving.slice(from),
+      ...(isOlder ? { configuration } : {}),
+      ...(stores === undefined ? {} : { stores }),
+    };
+  }
+
+  /** The state in plain form, for a snapshot. */
+  toData(): unknown {
+    const { configuration, document, leaving, forgottenLeaves, stores } = this;
+    return { configuration, document, leaving, forgottenLeaves, stores } satisfies FleetData;
+  }
+
+  /** Takes the place of what is here. */
+  restore(plain: unknown): void {
+    const data = plain as FleetData;
+    this.configuration = data.configuration ?? undefined;
+    this.document = data.document;
+    this.leaving = [...data.leaving];
+    this.leavingIds = new Set(this.leaving);
+    this.forgottenLeaves = data.forgottenLeaves;
+    this.stores = data.stores ?? undefined;
+  }
+
+  private putConfiguration({ configuration, document }: PutConfiguration): boolean {
+    if (configuration.version <= this.position.version) return false;
+    this.configuration = configuration;
+    this.document = document;
+    return true;
+  }
+
+  private recordLeave(endpointId: string): boolean {
+    if (this.leavingIds.has(endpointId)) return false;
+    this.leaving.push(endpointId);
+    this.leavingIds.add(endpointId);
+    while (this.leaving.length > MAX_LEAVE_RECORDS) {
+      const dropped = this.leaving.shift();
+      if (dropped !== undefined) this.leavingIds.delete(dropped);
+      this.forgottenLeaves += 1;
+    }
+    return true;
+  }
+
+  private formStores(cluster: StoreCluster): boolean {
+    if (this.stores !== undefined) return false;
+    this.stores = cluster;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The state of a fleet and how its processes see it.
+ */
+export * from './configuration.js';
+export * from './endpoint-register.js';
+export * from './fleet-state.js';
+export * from './known-fleet.js';
+export * from './route-table.js';
--- /dev/null
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -0,0 +1,239 @@
+/**
+ * Sends one request to one endpoint over kept connections and reports how it ended. It decides
+ * nothing: what an outcome means for the request is up to its plan.
+ */
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+import { EventFramer } from './event-framer.js';
+import type { StreamEvent } from './event-framer.js';
+import type { EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
+import type { SendOutcome } from './request-plan.js';
+
+/** Longest time that a connection may take to open; an endpoint without power never answers. */
+const CONNECT_TIMEOUT_MS = 600;
+/** Time that an idle connection is kept, unless the endpoint says less. */
+const IDLE_CONNECTION_MS = 4000;
+/** Largest body of a failure that is kept to be passed on. */
+const MAX_FAILURE_BYTES = 1024 * 1024;
+
+/** One send. */
+export interface Send {
+  /** `host:port` of the endpoint. */
+  readonly address: string;
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+}
+
+/** What a send hands out while it runs. */
+export interface SendReceiver {
+  /** The head of an answer that will be passed on. */
+  onHead(head: EndpointHead): void;
+  /** Part of the body; of an event stream a whole event. False: pause until resumed. */
+  onPart(bytes: Buffer, event: StreamEvent | undefined): boolean;
+}
+
+/** How a send ended. */
+export type SendResult =
+  | { readonly kind: 'complete' }
+  | { readonly kind: 'stopped' }
+  | { readonly kind: 'failure'; readonly head: EndpointHead; readonly body: Buffer }
+  | { readonly kind: 'ended'; readonly outcome: SendOutcome };
+
+/** A send under way. */
+export interface RunningSend {
+  readonly result: Promise<SendResult>;
+  /** Breaks the connection, so that the endpoint stops its work. */
+  stop(): void;
+  /** Goes on after {@link SendReceiver.onPart} asked for a pause. */
+  resume(): void;
+}
+
+/** Options of {@link EndpointSender}. */
+export interface EndpointSenderOptions {
+  readonly protocol: EndpointProtocol;
+  /** Most connections to one endpoint. */
+  readonly maxConnections?: number;
+}
+
+/** Kept connections to endpoints. */
+export class EndpointSender {
+  private readonly protocol: EndpointProtocol;
+  private readonly maxConnections: number;
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(options: EndpointSenderOptions) {
+    this.protocol = options.protocol;
+    this.maxConnections = options.maxConnections ?? 64;
+  }
+
+  /** Begins a send. */
+  send(send: Send, receiver: SendReceiver): RunningSend {
+    const running = new SendHandler(this.protocol, send.requestId, receiver);
+    const options: Dispatcher.DispatchOptions = {
+      method: send.method as Dispatcher.HttpMethod,
+      path: send.path,
+      headers: [...send.headers],
+      body: send.body.length === 0 ? null : send.body,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    this.poolOf(send.address).dispatch(options, running);
+    return running;
+  }
+
+  /** Closes the connections to an endpoint that is gone. */
+  forget(address: string): void {
+    const pool = this.pools.get(address);
+    this.pools.delete(address);
+    // Requests under way end by themselves; a failure to close leaves nothing to do.
+    pool?.close().catch(() => undefined);
+  }
+
+  /** Addresses with connections. */
+  get addresses(): string[] {
+    return [...this.pools.keys()];
+  }
+
+  /** Breaks all connections. */
+  async destroy(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  private poolOf(address: string): Pool {
+    const known = this.pools.get(address);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${address}`, {
+      connections: this.maxConnections,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
+    this.pools.set(address, pool);
+    return pool;
+  }
+}
+
+/** Follows one send through the events of its connection. */
+class SendHandler implements Dispatcher.DispatchHandler, RunningSend {
+  readonly result: Promise<SendResult>;
+  private readonly protocol: EndpointProtocol;
+  private readonly requestId: string;
+  private readonly receiver: SendReceiver;
+  private settle: (result: SendResult) => void = () => undefined;
+  private controller: Dispatcher.DispatchController | undefined;
+  private head: EndpointHead | undefined;
+  private framer: EventFramer | undefined;
+  private isPassedOn = false;
+  private isStopped = false;
+  private kept: Buffer[] = [];
+  private keptBytes = 0;
+
+  constructor(protocol: EndpointProtocol, requestId: string, receiver: SendReceiver) {
+    this.protocol = protocol;
+    this.requestId = requestId;
+    this.receiver = receiver;
+    this.result = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.controller?.abort(new Error('no longer wanted'));
+    this.settle({ kind: 'stopped' });
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isStopped) controller.abort(new Error('no longer wanted'));
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, statusCode: number): void {
+    if (statusCode < 200) return;
+    const raw = (controller as { rawHeaders?: (Buffer | string)[] }).rawHeaders ?? [];
+    const head = this.protocol.readHead(
+      statusCode,
+      raw.map((value) => (typeof value === 'string' ? value : value.toString('latin1'))),
+    );
+    this.head = head;
+    const isForeign = head.requestId !== undefined && head.requestId !== this.requestId;
+    if (isForeign || (head.status < 300 && !head.isSigned)) {
+      const reason = isForeign ? 'the answer belongs to another request' : 'no signature';
+      this.finish({ kind: 'ended', outcome: { kind: 'lost', reason } });
+      controller.abort(new Error(reason));
+      return;
+    }
+    if (head.status >= 300) return;
+    this.isPassedOn = true;
+    if (head.isEventStream) this.framer = new EventFramer();
+    this.receiver.onHead(head);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isStopped) return;
+    if (!this.isPassedOn) {
+      this.keep(chunk);
+      return;
+    }
+    let goesOn = true;
+    if (this.framer === undefined) {
+      goesOn = this.receiver.onPart(chunk, undefined);
+    } else {
+      for (const event of this.framer.take(chunk)) {
+        goesOn = this.receiver.onPart(event.bytes, event) && goesOn;
+      }
+    }
+    if (!goesOn) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    const { head } = this;
+    if (head === undefined) return;
+    if (this.isPassedOn) {
+      const isWhole = (this.framer?.pendingBytes ?? 0) === 0;
+      const reason = 'ended in the middle of an event';
+      this.finish(
+        isWhole ? { kind: 'complete' } : { kind: 'ended', outcome: { kind: 'brokeOff', reason } },
+      );
+      return;
+    }
+    if (head.isNotExecuted) {
+      this.finish({ kind: 'ended', outcome: { kind: 'refused', status: head.status } });
+      return;
+    }
+    this.finish({ kind: 'failure', head, body: Buffer.concat(this.kept) });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    const reason = (error as { code?: string }).code ?? error.message;
+    if (this.controller === undefined) {
+      this.finish({ kind: 'ended', outcome: { kind: 'notSent', reason } });
+      return;
+    }
+    // A refusal says in its head that nothing ran; the rest of its body adds nothing.
+    if (this.head?.isNotExecuted === true) {
+      this.finish({ kind: 'ended', outcome: { kind: 'refused', status: this.head.status } });
+      return;
+    }
+    const kind = this.isPassedOn ? 'brokeOff' : 'lost';
+    this.finish({ kind: 'ended', outcome: { kind, reason } });
+  }
+
+  private keep(chunk: Buffer): void {
+    this.keptBytes += chunk.length;
+    if (this.keptBytes <= MAX_FAILURE_BYTES) this.kept.push(Buffer.from(chunk));
+  }
+
+  private finish(result: SendResult): void {
+    this.settle(result);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Forwarding of requests to endpoints: decisions, sends, and the passing on of answers.
+ */
+export * from './endpoint-sender.js';
+export * from './event-framer.js';
+export * from './forwarder.js';
+export * from './protocol.js';
+export * from './request-plan.js';
--- /dev/null
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -0,0 +1,202 @@
+/**
+ * The endpoints as one entry sees them: who may take work, and how much is under way there.
+ */
+import { EndpointDirectory } from '@shedline/directory';
+import type { KnownEndpoint } from '@shedline/directory';
+import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
+import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
+import { LoadView, SlotRouting } from '@shedline/routing';
+import type { SlotCandidate } from '@shedline/routing';
+import type { Announcement } from '@shedline/types';
+
+/** Heartbeats that an endpoint may miss. */
+const MISSED_HEARTBEATS = 3;
+/** A connection that cannot be opened counts for two failures. */
+const FAILURES_TO_EJECT = 2;
+const FIRST_EJECTION_MS = 800;
+
+/** Work under way at an endpoint, from one entry. */
+export interface LoadCount {
+  readonly endpointId: string;
+  readonly online: number;
+  readonly batch: number;
+}
+
+/** Options of {@link EndpointPool}. */
+export interface EndpointPoolOptions {
+  readonly availabilityZone: string;
+  /** Time between the heartbeats of an endpoint. */
+  readonly heartbeatMs: number;
+  readonly random: () => number;
+  readonly nowMs: () => number;
+  readonly isLeaving: (endpointId: string) => boolean;
+  /** Told when the load of an endpoint changed by this entry's own work. */
+  readonly onLoadChange: (endpointId: string) => void;
+  /** Told when an online request goes to an endpoint without a free slot. */
+  readonly onSlotWanted: (endpointId: string) => void;
+}
+
+/** Endpoints with their loads. */
+export class EndpointPool implements EndpointChooser {
+  private readonly options: EndpointPoolOptions;
+  private readonly directory: EndpointDirectory;
+  private readonly loads = new LoadView();
+  private readonly routing: SlotRouting;
+  private readonly addresses = new Map<string, string>();
+
+  constructor(options: EndpointPoolOptions) {
+    this.options = options;
+    this.directory = new EndpointDirectory({
+      leaseMs: options.heartbeatMs * MISSED_HEARTBEATS,
+      slowStartMs: 1,
+      failuresToEject: FAILURES_TO_EJECT,
+      firstEjectionMs: FIRST_EJECTION_MS,
+    });
+    this.routing = new SlotRouting({ random: options.random });
+  }
+
+  /** Takes heartbeats. */
+  hear(heartbeats: readonly AgedHeartbeat[]): void {
+    const nowMs = this.options.nowMs();
+    for (const { heartbeat, ageMs } of heartbeats) {
+      const isLeaving = this.options.isLeaving(heartbeat.endpointId);
+      this.directory.observe(announcementOf(heartbeat, isLeaving), ageMs, nowMs);
+      this.addresses.set(heartbeat.endpointId, heartbeat.address);
+    }
+  }
+
+  /** Endpoints that leave take nothing from now on. */
+  markLeaving(endpointIds: readonly string[]): void {
+    const nowMs = this.options.nowMs();
+    for (const endpointId of endpointIds) {
+      const known = this.directory.get(endpointId);
+      if (known === undefined) continue;
+      const { announcement } = known;
+      const sequence = announcement.sequence + 0.5;
+      const ageMs = nowMs - known.announcedAtMs;
+      this.directory.observe({ ...announcement, sequence, leaving: true }, ageMs, nowMs);
+    }
+  }
+
+  /** Forgets endpoints that are gone; gives the addresses still in use. */
+  sweep(): ReadonlySet<string> {
+    const nowMs = this.options.nowMs();
+    this.directory.forgetSilent(nowMs);
+    const live = this.directory.live(nowMs).map((known) => known.announcement.endpointId);
+    const liveIds = new Set(live);
+    for (const endpointId of this.addresses.keys()) {
+      if (liveIds.has(endpointId)) continue;
+      this.addresses.delete(endpointId);
+      this.loads.forget(endpointId);
+    }
+    return new Set(this.addresses.values());
+  }
+
+  /** Endpoints of a service that may take work now. */
+  usable(service: string): SlotCandidate[] {
+    const nowMs = this.options.nowMs();
+    return this.directory
+      .forService(service, nowMs)
+      .map((known) => this.candidateOf(known, nowMs));
+  }
+
+  /** Whether an endpoint may take work now. */
+  isUsable(endpointId: string): boolean {
+    return this.directory.isUsable(endpointId, this.options.nowMs());
+  }
+
+  /** `host:port` of an endpoint. */
+  addressOf(endpointId: string): string | undefined {
+    return this.addresses.get(endpointId);
+  }
+
+  choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
+    const candidates = this.usable(service).filter(({ endpointId }) => !tried.has(endpointId));
+    const chosen = this.routing.choose(candidates, this.options.availabilityZone);
+    if (chosen === undefined) return undefined;
+    const { endpointId, online, batch, slots } = chosen;
+    const address = this.addresses.get(endpointId);
+    if (address === undefined) return undefined;
+    if (online + batch >= slots && batch > 0) this.options.onSlotWanted(endpointId);
+    return { endpointId, address, load: online + batch };
+  }
+
+  began(endpointId: string): void {
+    this.change(endpointId, 'online', 1);
+    this.directory.sent(endpointId);
+  }
+
+  ended(endpointId: string, result: SendResult, firstPartMs: number | undefined): void {
+    this.change(endpointId, 'online', -1);
+    this.judge(endpointId, result, firstPartMs);
+  }
+
+  /** A batch run begins or ends at an endpoint. */
+  batchChange(endpointId: string, by: 1 | -1): void {
+    this.change(endpointId, 'batch', by);
+    if (by === 1) this.directory.sent(endpointId);
+  }
+
+  /** Notes how a send ended, for the choice of endpoints. */
+  judge(endpointId: string, result: SendResult, firstPartMs: number | undefined): void {
+    const nowMs = this.options.nowMs();
+    if (result.kind === 'complete') {
+      this.directory.succeeded(endpointId, firstPartMs, nowMs);
+      return;
+    }
+    const isFailure =
+      result.kind === 'ended' && result.outcome.kind !== 'refused' && result.outcome.kind !== 'failed';
+    if (!isFailure) {
+      this.directory.inconclusive(endpointId);
+      return;
+    }
+    this.directory.failed(endpointId, nowMs);
+    if (result.outcome.kind === 'notSent') this.directory.failed(endpointId, nowMs);
+  }
+
+  /** What this entry has under way. */
+  ownLoads(): LoadCount[] {
+    return this.loads.own();
+  }
+
+  /** Takes what another entry has under way. */
+  hearLoads(from: string, counts: readonly LoadCount[]): void {
+    const nowMs = this.options.nowMs();
+    for (const { endpointId, online, batch } of counts) {
+      this.loads.peerCount(endpointId, from, { online, batch }, nowMs);
+    }
+  }
+
+  private change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
+    this.loads.change(endpointId, kind, by);
+    this.options.onLoadChange(endpointId);
+  }
+
+  private candidateOf({ announcement }: KnownEndpoint, nowMs: number): SlotCandidate {
+    const { endpointId, availabilityZone, load } = announcement;
+    return {
+      endpointId,
+      availabilityZone,
+      online: Math.round(this.loads.online(endpointId, nowMs, false)),
+      batch: this.loads.batch(endpointId, nowMs),
+      slots: load.capacity,
+    };
+  }
+}
+
+function announcementOf(heartbeat: EndpointHeartbeat, leaving: boolean): Announcement {
+  return {
+    endpointId: heartbeat.endpointId,
+    // Each run of an endpoint has an id of its own.
+    incarnation: 0,
+    sequence: heartbeat.sequence,
+    url: `http://${heartbeat.address}`,
+    availabilityZone: heartbeat.availabilityZone,
+    kind: 'plain',
+    models: [],
+    services: [heartbeat.service],
+    load: { running: 0, waiting: 0, capacity: heartbeat.slots },
+    checksFencing: false,
+    leaving,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/fleet-follower.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps an entry's knowledge of the fleet fresh: it asks control processes for what is new and
+ * takes what they push. Before its first answer it asks the quorum, so that a process that just
+ * started obeys nothing older than what was acknowledged.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { LeaderCaller } from '@shedline/control-client';
+import { FLEET_GROUP } from '@shedline/fleet-control';
+import type { RefreshAnswer, RefreshRequest } from '@shedline/fleet-control';
+import { KnownFleet } from '@shedline/fleet';
+import type { AgedHeartbeat, FleetDelta } from '@shedline/fleet';
+import type { Logger } from '@shedline/logger';
+import type { PeerBook, PeerClient } from '@shedline/transport';
+
+/** Time between looks; a change is in force well within the two seconds that operators allow. */
+const REFRESH_INTERVAL_MS = 300;
+const REFRESH_TIMEOUT_MS = 700;
+const FIRST_READ_TIMEOUT_MS = 1500;
+const FIRST_READ_PAUSE_MS = 100;
+/** Control processes asked at each look: one that is cut off must not hide what is new. */
+const ASKED_AT_ONCE = 2;
+
+/** Options of {@link FleetFollower}. */
+export interface FleetFollowerOptions {
+  readonly controls: PeerBook;
+  readonly caller: LeaderCaller;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly onHeartbeats: (heartbeats: readonly AgedHeartbeat[]) => void;
+  readonly onLeaving: (endpointIds: readonly string[]) => void;
+}
+
+/** What an entry knows of the fleet, and how fresh it is. */
+export class FleetFollower {
+  readonly fleet = new KnownFleet();
+  private readonly options: FleetFollowerOptions;
+  private readonly cursors = new Map<string, { epoch: string; cursor: number }>();
+  private readonly asking = new Set<string>();
+  private timer: NodeJS.Timeout | undefined;
+  private turn = 0;
+  private stopped = false;
+  private lastAnswerMs = -Infinity;
+
+  constructor(options: FleetFollowerOptions) {
+    this.options = options;
+  }
+
+  /** Time since a control process last answered. */
+  get silentMs(): number {
+    return this.options.nowMs() - this.lastAnswerMs;
+  }
+
+  /** Reads the state through the quorum, then goes on to follow it. */
+  async start(): Promise<void> {
+    await this.readCurrent();
+    this.timer = setInterval(() => {
+      this.refresh();
+    }, REFRESH_INTERVAL_MS);
+    this.refresh();
+  }
+
+  /** Ends. */
+  stop(): void {
+    this.stopped = true;
+    clearInterval(this.timer);
+  }
+
+  /** Takes news, pushed or asked for. */
+  take(delta: FleetDelta, from: string): void {
+    const { newlyLeaving, routesChanged } = this.fleet.take(delta);
+    const { logger } = this.options;
+    if (routesChanged) {
+      const { version } = this.fleet.position;
+      logger.info('configuration in force', { step: 'configure', version, peer: from });
+    }
+    if (newlyLeaving.length === 0) return;
+    logger.info('endpoints leave', { step: 'leave', endpoints: newlyLeaving, peer: from });
+    this.options.onLeaving(newlyLeaving);
+  }
+
+  private async readCurrent(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        const { position } = this.fleet;
+        const answer = await this.options.caller.call(
+          'fleetDelta',
+          FLEET_GROUP,
+          position,
+          FIRST_READ_TIMEOUT_MS,
+        );
+        this.take(answer as FleetDelta, 'quorum');
+        return;
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.options.logger.debug('fleet not known yet', { step: 'start', reason });
+        await pause(FIRST_READ_PAUSE_MS);
+      }
+    }
+  }
+
+  private refresh(): void {
+    const ready = this.options.controls.ready;
+    const count = Math.min(ASKED_AT_ONCE, ready.length);
+    for (let offset = 0; offset < count; offset += 1) {
+      const control = ready[(this.turn + offset) % ready.length];
+      if (control !== undefined) void this.ask(control);
+    }
+    this.turn += count;
+  }
+
+  private async ask(control: PeerClient): Promise<void> {
+    const { peerName } = control;
+    if (this.asking.has(peerName)) return;
+    this.asking.add(peerName);
+    const known = this.cursors.get(peerName) ?? { epoch: '', cursor: 0 };
+    const request: RefreshRequest = { position: this.fleet.position, ...known };
+    try {
+      const raw = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
+      const { delta, endpoints } = raw as RefreshAnswer;
+      this.lastAnswerMs = this.options.nowMs();
+      this.take(delta, peerName);
+      this.cursors.set(peerName, { epoch: endpoints.epoch, cursor: endpoints.cursor });
+      this.options.onHeartbeats(endpoints.heartbeats);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.options.logger.debug('no news', { step: 'refresh', peer: peerName, reason });
+    } finally {
+      this.asking.delete(peerName);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-process.ts
@@ -0,0 +1,352 @@
+/**
+ * The caller-facing process of a fleet that finds its members itself: it forwards requests as
+ * they are, takes batch jobs and runs their items.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { FleetSettings } from '@shedline/config';
+import { LeaderCaller } from '@shedline/control-client';
+import { chooseService } from '@shedline/fleet';
+import type { CallerLimits, FleetDelta, Route } from '@shedline/fleet';
+import { ProcessCore, portsOf } from '@shedline/fleet-control';
+import type { JobEndedMessage } from '@shedline/fleet-control';
+import { EndpointSender, Forwarder } from '@shedline/forwarding';
+import type { AnswerSink, CallerRequest, EndpointProtocol } from '@shedline/forwarding';
+import type { Logger } from '@shedline/logger';
+import type { MemberRecord } from '@shedline/mesh';
+import { PeerBook } from '@shedline/transport';
+import { EndpointPool } from './endpoint-pool.js';
+import type { LoadCount } from './endpoint-pool.js';
+import { FleetFollower } from './fleet-follower.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import { ItemRunner } from './item-runner.js';
+import { JobDesk } from './job-desk.js';
+import { LoadExchange } from './load-exchange.js';
+
+const SWEEP_INTERVAL_MS = 1000;
+const POLL_MS = 20;
+/** Most addresses in one answer. */
+const MAX_ADDRESSES = 64;
+/** Entries in the caller's zone from which the answer leaves the other zones out. */
+const ENOUGH_IN_ZONE = 2;
+/** When a caller should come back to an entry that has no configuration yet. */
+const NOT_READY_RETRY_MS = 300;
+/** Time before the end of the process at which connections are closed. */
+const STOP_MARGIN_MS = 700;
+/** Times an address answer that callers keep the answer for; some keep it for three. */
+const KEPT_ANSWERS = 1.5;
+
+/** A request of a caller, decoded. */
+export interface IncomingRequest {
+  readonly caller: CallerRequest;
+  readonly host: string;
+  /** Time that the caller waits; undefined where it does not say. */
+  readonly timeLeftMs: number | undefined;
+}
+
+/** Options of {@link GatewayProcess}. */
+export interface GatewayProcessOptions {
+  readonly settings: FleetSettings;
+  readonly protocol: EndpointProtocol;
+  readonly logger: Logger;
+  readonly random?: () => number;
+  readonly nowMs?: () => number;
+}
+
+/** One entry. */
+export class GatewayProcess {
+  readonly core: ProcessCore;
+  readonly jobs: JobDesk;
+  readonly metrics = new GatewayMetrics();
+  private readonly settings: FleetSettings;
+  private readonly logger: Logger;
+  private readonly random: () => number;
+  private readonly nowMs: () => number;
+  private readonly follower: FleetFollower;
+  private readonly pool: EndpointPool;
+  private readonly sender: EndpointSender;
+  private readonly forwarder: Forwarder;
+  private readonly entries: PeerBook;
+  private readonly stores: PeerBook;
+  private readonly exchange: LoadExchange;
+  private readonly runner: ItemRunner;
+  private timer: NodeJS.Timeout | undefined;
+  private draining = false;
+  private openRequests = 0;
+
+  constructor(options: GatewayProcessOptions) {
+    const { settings, protocol, logger } = options;
+    this.settings = settings;
+    this.logger = logger;
+    this.random = options.random ?? Math.random;
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.core = this.createCore();
+    const { name } = this.core;
+    const secret = settings.fleetSecret;
+    this.entries = new PeerBook({ name, secret });
+    this.stores = new PeerBook({
+      name,
+      secret,
+      handlers: {
+        onMessage: (method, payload) => {
+          if (method === 'jobEnded') this.runner.jobEnded((payload as JobEndedMessage).jobId);
+        },
+      },
+    });
+    this.exchange = new LoadExchange({ entries: this.entries, pool: () => this.pool });
+    this.follower = this.createFollower();
+    this.pool = this.createPool();
+    this.sender = new EndpointSender({ protocol });
+    this.forwarder = new Forwarder({
+      sender: this.sender,
+      protocol,
+      chooser: this.pool,
+      logger,
+      nowMs: this.nowMs,
+    });
+    const storeCaller = new LeaderCaller({ ports: () => portsOf(this.stores) });
+    const { fleet } = this.follower;
+    this.jobs = new JobDesk({ stores: storeCaller, fleet, logger });
+    this.runner = new ItemRunner({
+      holder: `${name}/${this.core.epoch}`,
+      self: name,
+      stores: storeCaller,
+      fleet,
+      pool: this.pool,
+      sender: this.sender,
+      protocol,
+      logger,
+      nowMs: this.nowMs,
+      liveEntries: () => this.batchEntries(),
+    });
+    this.addGauges();
+  }
+
+  /** Joins the fleet and learns its state; callers may connect before that and are refused. */
+  async start(): Promise<void> {
+    await this.core.listen();
+    this.core.start();
+    this.exchange.start();
+    await this.follower.start();
+    this.runner.start();
+    this.timer = setInterval(() => {
+      this.sweep();
+    }, SWEEP_INTERVAL_MS);
+    this.logger.info('entry ready', { step: 'start', version: this.follower.fleet.position.version });
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return !this.draining && this.follower.fleet.routes !== undefined;
+  }
+
+  /** Whether the process has begun to stop. */
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  /** Limits on what callers may send; undefined before the first configuration. */
+  get limits(): CallerLimits | undefined {
+    return this.follower.fleet.routes?.configuration.limits;
+  }
+
+  /** Addresses for a caller: its own zone where that has enough entries, all otherwise. */
+  addresses(availabilityZone: string): string[] {
+    const ready = this.core.mesh
+      .live('entry')
+      .filter((entry) => entry.state === 'ready' && entry.callerAddress !== undefined);
+    const near = ready.filter((entry) => entry.availabilityZone === availabilityZone);
+    const chosen = near.length >= ENOUGH_IN_ZONE ? near : ready;
+    return chosen.flatMap((entry) => entry.callerAddress ?? []).slice(0, MAX_ADDRESSES);
+  }
+
+  /** The route of a request; undefined where there is none, or no configuration yet. */
+  routeOf(host: string, path: string): Route | undefined {
+    return this.follower.fleet.routes?.find(host, path);
+  }
+
+  /** Whether a host takes batch jobs. */
+  hasJobs(host: string): boolean {
+    return (this.follower.fleet.routes?.jobRoutes(host).length ?? 0) > 0;
+  }
+
+  /** Whether the routes are known. */
+  get knowsRoutes(): boolean {
+    return this.follower.fleet.routes !== undefined;
+  }
+
+  /** Forwards a request; its answer goes into the sink. */
+  async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
+    const { caller, host, timeLeftMs } = incoming;
+    const { routes } = this.follower.fleet;
+    const route = routes?.find(host, caller.path);
+    if (routes === undefined || route === undefined) {
+      this.refuseUnrouted(incoming, sink);
+      return;
+    }
+    const beganMs = this.nowMs();
+    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
+    this.openRequests += 1;
+    try {
+      const end = await this.forwarder.run({
+        request: caller,
+        route,
+        service: chooseService(route, this.random()),
+        version: routes.version,
+        deadlineMs: beganMs + limitMs,
+        sink,
+      });
+      this.metrics.ended(route.name, end, this.nowMs() - beganMs);
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
+  /** Takes settings that changed. */
+  reload(settings: FleetSettings): void {
+    this.core.reload(settings);
+  }
+
+  /**
+   * Planned stop: leaves the address answers, serves on while callers still hold them, hands
+   * batch work back. Resolves when the caller-facing connections may close.
+   */
+  async drain(): Promise<void> {
+    this.draining = true;
+    const beganMs = this.nowMs();
+    this.core.mesh.setState('draining');
+    this.logger.info('draining', { step: 'stop', openRequests: this.openRequests });
+    const handedBack = this.runner.drain();
+    const keptMs = this.settings.addressKeepS * 1000 * KEPT_ANSWERS;
+    const untilMs = beganMs + this.settings.stopWithinS * 1000 - STOP_MARGIN_MS;
+    await pause(Math.min(keptMs, Math.max(0, untilMs - this.nowMs())));
+    while (this.openRequests > 0 && this.nowMs() < untilMs) await pause(POLL_MS);
+    await Promise.race([handedBack, pause(Math.max(0, untilMs - this.nowMs()))]);
+    this.logger.info('drained', { step: 'stop', cutRequests: this.openRequests });
+  }
+
+  /** Ends all connections to the fleet and the endpoints. */
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    this.follower.stop();
+    this.exchange.stop();
+    this.entries.close();
+    this.stores.close();
+    await this.sender.destroy();
+    await this.core.stop();
+  }
+
+  private refuseUnrouted({ caller, host }: IncomingRequest, sink: AnswerSink): void {
+    const version = this.follower.fleet.position.version;
+    const status = this.knowsRoutes ? 404 : 503;
+    this.logger.info('request refused', {
+      step: 'route',
+      request: caller.requestId,
+      host,
+      path: caller.path,
+      version,
+      outcome: status,
+    });
+    if (status === 404) sink.refuse(404, {});
+    else sink.refuse(503, { retryAfterMs: NOT_READY_RETRY_MS });
+  }
+
+  private createCore(): ProcessCore {
+    const { caller } = this.settings.listeners;
+    return new ProcessCore({
+      kind: 'entry',
+      settings: this.settings,
+      logger: this.logger,
+      nowMs: this.nowMs,
+      record: caller === undefined ? {} : { callerAddress: caller },
+      handlers: {
+        onRequest: (method) => Promise.reject(new Error(`an entry answers no ${method}`)),
+        onMessage: (method, payload, link) => {
+          this.onMessage(method, payload, link.peerName);
+        },
+      },
+      onMembersChange: () => {
+        this.membersChanged();
+      },
+    });
+  }
+
+  private createFollower(): FleetFollower {
+    const { controls } = this.core.mesh;
+    return new FleetFollower({
+      controls,
+      caller: new LeaderCaller({ ports: () => portsOf(controls), maxAttemptMs: 500 }),
+      logger: this.logger,
+      nowMs: this.nowMs,
+      onHeartbeats: (heartbeats) => {
+        this.pool.hear(heartbeats);
+      },
+      onLeaving: (endpointIds) => {
+        this.pool.markLeaving(endpointIds);
+      },
+    });
+  }
+
+  private createPool(): EndpointPool {
+    return new EndpointPool({
+      availabilityZone: this.settings.availabilityZone,
+      heartbeatMs: this.settings.heartbeatMs,
+      random: this.random,
+      nowMs: this.nowMs,
+      isLeaving: (endpointId) => this.follower.fleet.isLeaving(endpointId),
+      onLoadChange: (endpointId) => {
+        this.exchange.note(endpointId);
+      },
+      onSlotWanted: (endpointId) => {
+        this.wantSlot(endpointId);
+      },
+    });
+  }
+
+  private addGauges(): void {
+    this.metrics.gauge('shedline_open_requests', () => this.openRequests);
+    this.metrics.gauge('shedline_held_items', () => this.runner.heldCount);
+    this.metrics.gauge('shedline_configuration_version', () => this.follower.fleet.position.version);
+    this.metrics.gauge('shedline_control_silence_milliseconds', () => this.follower.silentMs);
+  }
+
+  /** The entry that runs batch work at the endpoint makes room there. */
+  private wantSlot(endpointId: string): void {
+    const owner = this.runner.ownerOf(endpointId);
+    if (owner === undefined || owner === this.core.name) this.runner.slotWanted(endpointId);
+    else this.entries.get(owner)?.send('slotWanted', endpointId);
+  }
+
+  private onMessage(method: string, payload: unknown, from: string): void {
+    if (method === 'fleetNews') this.follower.take(payload as FleetDelta, from);
+    if (method === 'loads') this.pool.hearLoads(from, payload as LoadCount[]);
+    if (method === 'slotWanted') this.runner.slotWanted(payload as string);
+  }
+
+  /** Entries that run batch work: those that take callers, and this one unless it stops. */
+  private batchEntries(): string[] {
+    const ready = this.core.mesh.live('entry').filter((entry) => entry.state === 'ready');
+    const names = new Set(ready.map((entry) => entry.name));
+    if (this.draining) names.delete(this.core.name);
+    else names.add(this.core.name);
+    return [...names].sort();
+  }
+
+  private membersChanged(): void {
+    connect(this.entries, this.core.mesh.live('entry'));
+    connect(this.stores, this.core.mesh.live('store'));
+    if (this.isReady && this.core.mesh.self.state === 'starting') this.core.mesh.setState('ready');
+  }
+
+  private sweep(): void {
+    const inUse = this.pool.sweep();
+    for (const address of this.sender.addresses) {
+      if (!inUse.has(address)) this.sender.forget(address);
+    }
+  }
+}
+
+/** Connects to exactly these processes. */
+function connect(book: PeerBook, members: readonly MemberRecord[]): void {
+  for (const { name, host, port } of members) book.add({ name, host, port });
+  book.keepOnly(new Set(members.map((member) => member.name)));
+}
--- /dev/null
+++ b/packages/gateway/src/load-exchange.ts
@@ -0,0 +1,61 @@
+/**
+ * Tells the other entries how much work this one has under way at each endpoint.
+ */
+import type { PeerBook } from '@shedline/transport';
+import type { EndpointPool, LoadCount } from './endpoint-pool.js';
+
+/** Changes of this long go out together: shorter than the time to a stream's first event. */
+const COALESCE_MS = 25;
+/** All counts are repeated this often; a count that is not expires after three seconds. */
+const REPEAT_MS = 1000;
+
+/** Options of {@link LoadExchange}. */
+export interface LoadExchangeOptions {
+  readonly entries: PeerBook;
+  readonly pool: () => EndpointPool;
+}
+
+/** Sends load counts. */
+export class LoadExchange {
+  private readonly options: LoadExchangeOptions;
+  private readonly changed = new Set<string>();
+  private pending: NodeJS.Timeout | undefined;
+  private repeat: NodeJS.Timeout | undefined;
+
+  constructor(options: LoadExchangeOptions) {
+    this.options = options;
+  }
+
+  /** Starts the repetitions. */
+  start(): void {
+    this.repeat = setInterval(() => {
+      this.send(this.options.pool().ownLoads());
+    }, REPEAT_MS);
+  }
+
+  /** Notes that the load of an endpoint changed. */
+  note(endpointId: string): void {
+    this.changed.add(endpointId);
+    this.pending ??= setTimeout(() => {
+      this.flush();
+    }, COALESCE_MS);
+  }
+
+  /** Ends. */
+  stop(): void {
+    clearTimeout(this.pending);
+    clearInterval(this.repeat);
+  }
+
+  private flush(): void {
+    this.pending = undefined;
+    const loads = this.options.pool().ownLoads();
+    this.send(loads.filter(({ endpointId }) => this.changed.has(endpointId)));
+    this.changed.clear();
+  }
+
+  private send(counts: readonly LoadCount[]): void {
+    if (counts.length === 0) return;
+    for (const entry of this.options.entries.ready) entry.send('loads', counts);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/run-reporter.ts
@@ -0,0 +1,94 @@
+/**
+ * Reports results and failed runs to the stores until they have them.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { LeaderCaller } from '@shedline/control-client';
+import type { Logger } from '@shedline/logger';
+import type { FailedItem, FinishedItem } from '@shedline/whole-jobs';
+
+/** Results of this long go out in one command. */
+const GATHER_MS = 15;
+const REPORT_TIMEOUT_MS = 3000;
+const RETRY_PAUSE_MS = 200;
+
+/** Options of {@link RunReporter}. */
+export interface RunReporterOptions {
+  readonly stores: LeaderCaller;
+  readonly logger: Logger;
+}
+
+interface Outbox {
+  finished: FinishedItem[];
+  failed: FailedItem[];
+  onStored: (() => void)[];
+}
+
+/** What the stores do not have yet. */
+export class RunReporter {
+  private readonly options: RunReporterOptions;
+  private readonly outboxes = new Map<number, Outbox>();
+  private readonly sending = new Map<number, Promise<void>>();
+
+  constructor(options: RunReporterOptions) {
+    this.options = options;
+  }
+
+  /** Reports a result. */
+  finished(group: number, result: FinishedItem): void {
+    this.outboxOf(group).finished.push(result);
+    this.send(group);
+  }
+
+  /** Reports a failed run; `onStored` is called once the stores have counted it. */
+  failed(group: number, run: FailedItem, onStored: () => void): void {
+    const outbox = this.outboxOf(group);
+    outbox.failed.push(run);
+    outbox.onStored.push(onStored);
+    this.send(group);
+  }
+
+  /** Resolves once nothing is left to report. */
+  async flush(): Promise<void> {
+    await Promise.all(this.sending.values());
+  }
+
+  private outboxOf(group: number): Outbox {
+    const known = this.outboxes.get(group);
+    if (known !== undefined) return known;
+    const fresh: Outbox = { finished: [], failed: [], onStored: [] };
+    this.outboxes.set(group, fresh);
+    return fresh;
+  }
+
+  private send(group: number): void {
+    if (this.sending.has(group)) return;
+    const work = this.sendAll(group).finally(() => this.sending.delete(group));
+    this.sending.set(group, work);
+  }
+
+  private async sendAll(group: number): Promise<void> {
+    await pause(GATHER_MS);
+    for (;;) {
+      const outbox = this.outboxes.get(group);
+      if (outbox === undefined) return;
+      this.outboxes.delete(group);
+      const { finished, failed, onStored } = outbox;
+      await this.sendUntilStored(group, { finished, failed });
+      for (const listener of onStored) listener();
+    }
+  }
+
+  private async sendUntilStored(group: number, body: object): Promise<void> {
+    for (;;) {
+      try {
+        const payload = { group, body };
+        await this.options.stores.call('commitRuns', group, payload, REPORT_TIMEOUT_MS);
+        return;
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.options.logger.info('results not stored yet', { step: 'report', group, reason });
+        await pause(RETRY_PAUSE_MS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/member-view.ts
@@ -0,0 +1,55 @@
+/**
+ * The processes that are up, put together from the lists of several control processes: one that
+ * is cut off from a process must not make it vanish for all.
+ */
+import type { MemberKind, MemberRecord } from './member-record.js';
+
+/** Silence of a control process after which its list no longer counts beside fresher ones. */
+const LIST_LEASE_MS = 2600;
+
+interface HeldList {
+  members: readonly MemberRecord[];
+  heardAtMs: number;
+}
+
+/** Union of the lists heard lately. */
+export class MemberView {
+  private readonly lists = new Map<string, HeldList>();
+
+  /** Takes the list of a control process, or with undefined only a sign of life of it. */
+  hear(from: string, members: readonly MemberRecord[] | undefined, nowMs: number): void {
+    const known = this.lists.get(from);
+    if (members !== undefined) this.lists.set(from, { members, heardAtMs: nowMs });
+    else if (known !== undefined) known.heardAtMs = nowMs;
+  }
+
+  /** Control processes whose lists count now; all of them where none is fresh. */
+  private counting(nowMs: number): HeldList[] {
+    const all = [...this.lists.values()];
+    const fresh = all.filter((list) => nowMs - list.heardAtMs < LIST_LEASE_MS);
+    return fresh.length > 0 ? fresh : all;
+  }
+
+  /** Whether some control process has been heard lately. */
+  isFresh(nowMs: number): boolean {
+    return [...this.lists.values()].some((list) => nowMs - list.heardAtMs < LIST_LEASE_MS);
+  }
+
+  /** Processes of a kind that are up, one record each. */
+  live(kind: MemberKind, nowMs: number): MemberRecord[] {
+    const byName = new Map<string, MemberRecord>();
+    for (const { members } of this.counting(nowMs)) {
+      for (const record of members) {
+        if (record.kind !== kind) continue;
+        const known = byName.get(record.name);
+        if (known === undefined || isNewer(record, known)) byName.set(record.name, record);
+      }
+    }
+    return [...byName.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+}
+
+/** Within one run the higher sequence is newer; between runs either may be, so the first stays. */
+function isNewer(record: MemberRecord, known: MemberRecord): boolean {
+  return record.epoch === known.epoch && record.sequence > known.sequence;
+}
--- /dev/null
+++ b/packages/mesh/src/mesh.ts
@@ -0,0 +1,217 @@
+/**
+ * Keeps a process in touch with its fleet: it announces itself to the control processes, which
+ * it finds through a few seed addresses, and takes their lists of processes that are up.
+ */
+import type { Logger } from '@shedline/logger';
+import { PeerBook } from '@shedline/transport';
+import type { Link, LinkHandlers, PeerAddress } from '@shedline/transport';
+import type { MemberKind, MemberRecord, MemberState } from './member-record.js';
+import { MemberRegister } from './member-register.js';
+import { MemberView } from './member-view.js';
+
+/** Time between announcements; several fit into the lease of a member. */
+const ANNOUNCE_INTERVAL_MS = 500;
+
+/** Message: a process describes itself. */
+const ANNOUNCE = 'member';
+/** Message: a process ends. */
+const LEAVE = 'memberLeaves';
+/** Message: the processes that a control process hears. */
+const LIST = 'members';
+
+interface ListMessage {
+  readonly version: number;
+  /** Left out where the receiver has this version already. */
+  readonly members?: readonly MemberRecord[];
+}
+
+/** Options of {@link Mesh}. */
+export interface MeshOptions {
+  readonly record: Omit<MemberRecord, 'sequence' | 'state'>;
+  readonly secret: string;
+  /** Control processes to ask first. */
+  readonly seeds: readonly PeerAddress[];
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Other messages and requests that come over the connections of this process. */
+  readonly handlers?: Partial<LinkHandlers>;
+  /** Called after the list of processes may have changed. */
+  readonly onChange?: () => void;
+}
+
+/** A process's place in its fleet. */
+export class Mesh {
+  /** Connections to the control processes. */
+  readonly controls: PeerBook;
+  private readonly options: MeshOptions;
+  private readonly register = new MemberRegister();
+  private readonly view = new MemberView();
+  /** Version of this process's list that each link has. */
+  private readonly sentVersions = new WeakMap<Link, number>();
+  private readonly links = new Set<Link>();
+  private seeds: readonly PeerAddress[];
+  private record: MemberRecord;
+  private timer: NodeJS.Timeout | undefined;
+  private inTouch = false;
+
+  constructor(options: MeshOptions) {
+    this.options = options;
+    this.seeds = options.seeds;
+    this.record = { ...options.record, sequence: 1, state: 'starting' };
+    this.controls = new PeerBook({
+      name: options.record.name,
+      secret: options.secret,
+      handlers: {
+        onRequest: (method, payload, link) => this.onRequest(method, payload, link),
+        onMessage: (method, payload, link) => {
+          this.onMessage(method, payload, link);
+        },
+      },
+      onReady: (name) => {
+        options.logger.info('control process connected', { peer: name, step: 'join' });
+        this.announceTo(name);
+      },
+    });
+  }
+
+  /** Starts to announce this process. */
+  start(): void {
+    this.updateControls();
+    this.timer = setInterval(() => {
+      this.tick();
+    }, ANNOUNCE_INTERVAL_MS);
+    this.tick();
+  }
+
+  /** This process as the others hear of it. */
+  get self(): MemberRecord {
+    return this.record;
+  }
+
+  /** Processes of a kind that are up. */
+  live(kind: MemberKind): MemberRecord[] {
+    return this.view.live(kind, this.options.nowMs());
+  }
+
+  /** Whether some control process has been heard lately. */
+  get isInTouch(): boolean {
+    return this.view.isFresh(this.options.nowMs());
+  }
+
+  /** Says that this process takes work now, or no longer does. */
+  setState(state: MemberState): void {
+    this.update({ state });
+  }
+
+  /** Changes what this process says of itself. */
+  update(change: Partial<MemberRecord>): void {
+    this.record = { ...this.record, ...change, sequence: this.record.sequence + 1 };
+    this.announce();
+  }
+
+  /** Takes other seeds, after the settings changed. */
+  setSeeds(seeds: readonly PeerAddress[]): void {
+    this.seeds = seeds;
+    this.updateControls();
+  }
+
+  /** Takes a message that arrived over a connection; false where it is not about members. */
+  receive(method: string, payload: unknown, link: Link): boolean {
+    const nowMs = this.options.nowMs();
+    if (method === ANNOUNCE) {
+      this.links.add(link);
+      this.register.hear(payload as MemberRecord, nowMs);
+      this.sendList(link);
+      return true;
+    }
+    if (method === LEAVE) {
+      this.register.forget(payload as string);
+      return true;
+    }
+    if (method === LIST) {
+      this.takeList(payload as ListMessage, link);
+      return true;
+    }
+    return false;
+  }
+
+  /** Tells the control processes that this process ends, and closes the connections. */
+  stop(): void {
+    clearInterval(this.timer);
+    for (const control of this.controls.ready) control.send(LEAVE, this.record.name);
+    // The message goes out before the connection closes.
+    setImmediate(() => {
+      this.controls.close();
+    });
+  }
+
+  private tick(): void {
+    this.announce();
+    if (this.record.kind === 'control') this.sendLists();
+    this.updateControls();
+    this.noteTouch();
+    this.options.onChange?.();
+  }
+
+  private announce(): void {
+    if (this.record.kind === 'control') {
+      const nowMs = this.options.nowMs();
+      this.register.hear(this.record, nowMs);
+      this.view.hear(this.record.name, this.register.live(nowMs).members, nowMs);
+    }
+    for (const control of this.controls.ready) control.send(ANNOUNCE, this.record);
+  }
+
+  private announceTo(name: string): void {
+    this.controls.get(name)?.send(ANNOUNCE, this.record);
+  }
+
+  private noteTouch(): void {
+    const { isInTouch } = this;
+    if (isInTouch === this.inTouch) return;
+    this.inTouch = isInTouch;
+    const text = isInTouch ? 'in touch with the fleet' : 'out of touch with all control processes';
+    this.options.logger.info(text, { step: 'join', controls: this.controls.ready.length });
+  }
+
+  /** Keeps a connection to each control process that is up and to each seed. */
+  private updateControls(): void {
+    const wanted = new Map<string, PeerAddress>();
+    for (const seed of this.seeds) wanted.set(seed.name, seed);
+    for (const { name, host, port } of this.live('control')) wanted.set(name, { name, host, port });
+    for (const address of wanted.values()) this.controls.add(address);
+    this.controls.keepOnly(new Set(wanted.keys()));
+  }
+
+  private sendLists(): void {
+    for (const link of this.links) {
+      if (link.isReady) this.sendList(link);
+      else this.links.delete(link);
+    }
+  }
+
+  private sendList(link: Link): void {
+    const { version, members } = this.register.live(this.options.nowMs());
+    const isKnown = this.sentVersions.get(link) === version;
+    link.send(LIST, { version, ...(isKnown ? {} : { members }) });
+    this.sentVersions.set(link, version);
+  }
+
+  private takeList(message: ListMessage, link: Link): void {
+    this.view.hear(link.peerName, message.members, this.options.nowMs());
+    if (message.members === undefined) return;
+    this.updateControls();
+    this.options.onChange?.();
+  }
+
+  private async onRequest(method: string, payload: unknown, link: Link): Promise<unknown> {
+    const answer = this.options.handlers?.onRequest;
+    if (answer === undefined) throw new Error(`this process answers no ${method}`);
+    return answer(method, payload, link);
+  }
+
+  private onMessage(method: string, payload: unknown, link: Link): void {
+    if (this.receive(method, payload, link)) return;
+    this.options.handlers?.onMessage?.(method, payload, link);
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,3 +6,4 @@
 export * from './prefix-index.js';
 export * from './routing.js';
 export * from './sample-entries.js';
+export * from './slot-routing.js';
--- /dev/null
+++ b/packages/routing/src/slot-routing.ts
@@ -0,0 +1,72 @@
+/**
+ * Choice of an endpoint that runs a fixed number of requests at once and knows no ranks: a free
+ * slot first, then one that batch work will give up, then the shortest queue.
+ */
+
+/** An endpoint that may take the request. */
+export interface SlotCandidate {
+  readonly endpointId: string;
+  readonly availabilityZone: string;
+  /** Online requests under way there, as estimated now. */
+  readonly online: number;
+  /** Batch requests under way there; they yield. */
+  readonly batch: number;
+  /** Requests that run at once. */
+  readonly slots: number;
+}
+
+/** Options of {@link SlotRouting}. */
+export interface SlotRoutingOptions {
+  readonly random: () => number;
+  /** Online requests beyond its slots that an endpoint may be given. */
+  readonly maxQueued?: number;
+  /** What another availability zone costs, as a share of the slots of an endpoint. */
+  readonly crossZoneShare?: number;
+}
+
+/** A queue of two drains in a fraction of the usual target for the first event. */
+const DEFAULT_MAX_QUEUED = 2;
+/** Zones are about a millisecond apart: only a tie of loads goes by zone. */
+const DEFAULT_CROSS_ZONE_SHARE = 0.05;
+/** Added where batch work has to yield first; more than any share of used slots. */
+const YIELD_COST = 10;
+/** Added where the request has to queue. */
+const QUEUE_COST = 20;
+
+/** Chooses by slots. */
+export class SlotRouting {
+  private readonly random: () => number;
+  private readonly maxQueued: number;
+  private readonly crossZoneShare: number;
+
+  constructor(options: SlotRoutingOptions) {
+    this.random = options.random;
+    this.maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
+    this.crossZoneShare = options.crossZoneShare ?? DEFAULT_CROSS_ZONE_SHARE;
+  }
+
+  /** The best endpoint; undefined where every queue is full. */
+  choose(
+    candidates: readonly SlotCandidate[],
+    availabilityZone: string,
+  ): SlotCandidate | undefined {
+    let best: SlotCandidate[] = [];
+    let bestCost = Infinity;
+    for (const candidate of candidates) {
+      if (candidate.online >= candidate.slots + this.maxQueued) continue;
+      const zone = candidate.availabilityZone === availabilityZone ? 0 : this.crossZoneShare;
+      const cost = costOf(candidate) + zone;
+      if (cost < bestCost) best = [];
+      if (cost <= bestCost) best.push(candidate);
+      bestCost = Math.min(bestCost, cost);
+    }
+    return best[Math.floor(this.random() * best.length)];
+  }
+}
+
+function costOf({ online, batch, slots }: SlotCandidate): number {
+  const size = Math.max(1, slots);
+  if (online + batch < size) return (online + batch) / size;
+  if (online < size) return YIELD_COST + online / size;
+  return QUEUE_COST + (online - size);
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -4,3 +4,4 @@
 export * from './link.js';
 export * from './peer-client.js';
 export * from './peer-server.js';
+export * from './peer-book.js';
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -11,6 +11,10 @@
 /** Unsent bytes at which one-way messages are dropped; the senders repeat what matters. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Time between pings. */
+const PING_INTERVAL_MS = 700;
+/** Silence after which a peer counts as gone; a host without power closes no connection. */
+const SILENCE_LIMIT_MS = 2500;
 
 type Frame =
   | ['hello', Hello]
@@ -57,6 +61,8 @@
   private readonly waiting = new Map<number, WaitingRequest>();
   private readonly handshakeTimer: NodeJS.Timeout;
   private sentByteCount = 0;
+  private lastHeardMs = performance.now();
+  private pingTimer: NodeJS.Timeout | undefined;
 
   constructor(options: LinkOptions) {
     this.options = options;
@@ -64,8 +70,12 @@
     this.ownHello = createHello(options.name);
     this.socket.binaryType = 'nodebuffer';
     this.socket.on('message', (data: Buffer) => {
+      this.lastHeardMs = performance.now();
       this.onData(data);
     });
+    this.socket.on('pong', () => {
+      this.lastHeardMs = performance.now();
+    });
     this.socket.on('close', () => {
       this.onClosed();
     });
@@ -167,6 +177,10 @@
     this.proven = true;
     this.peerName = other.name;
     clearTimeout(this.handshakeTimer);
+    this.lastHeardMs = performance.now();
+    this.pingTimer = setInterval(() => {
+      this.checkSilence();
+    }, PING_INTERVAL_MS);
     this.options.onReady(this);
   }
 
@@ -197,8 +211,18 @@
     return request;
   }
 
+  /** Cuts a connection that has been silent for too long; a ping asks for a sign of life. */
+  private checkSilence(): void {
+    if (performance.now() - this.lastHeardMs > SILENCE_LIMIT_MS) {
+      this.socket.terminate();
+      return;
+    }
+    if (this.socket.readyState === this.socket.OPEN) this.socket.ping();
+  }
+
   private onClosed(): void {
     clearTimeout(this.handshakeTimer);
+    clearInterval(this.pingTimer);
     for (const requestId of [...this.waiting.keys()]) {
       const request = this.settle(requestId);
       request?.reject(this.failure(request.method, 'closed the connection', 'unknown'));
--- /dev/null
+++ b/packages/transport/src/peer-book.ts
@@ -0,0 +1,79 @@
+/**
+ * Connections to a set of peers that changes while the process runs.
+ */
+import type { LinkHandlers } from './link.js';
+import { PeerClient } from './peer-client.js';
+
+/** Where a peer takes connections. */
+export interface PeerAddress {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Options of {@link PeerBook}. */
+export interface PeerBookOptions {
+  /** Name of this process. */
+  readonly name: string;
+  readonly secret: string;
+  readonly handlers?: Partial<LinkHandlers>;
+  /** Called with the name of a peer whenever a connection to it has been proven. */
+  readonly onReady?: (peerName: string) => void;
+}
+
+/** One lasting connection a peer. */
+export class PeerBook {
+  private readonly options: PeerBookOptions;
+  private readonly clients = new Map<string, PeerClient>();
+  private closed = false;
+
+  constructor(options: PeerBookOptions) {
+    this.options = options;
+  }
+
+  /** The connection to a peer, if it is one. */
+  get(name: string): PeerClient | undefined {
+    return this.clients.get(name);
+  }
+
+  /** Names of all peers. */
+  get names(): string[] {
+    return [...this.clients.keys()];
+  }
+
+  /** Peers whose connection is up. */
+  get ready(): PeerClient[] {
+    return [...this.clients.values()].filter((client) => client.isReady);
+  }
+
+  /** Makes a process a peer; one that is already is left alone. */
+  add(address: PeerAddress): void {
+    if (this.closed || address.name === this.options.name) return;
+    if (this.clients.has(address.name)) return;
+    const { name, secret, handlers, onReady } = this.options;
+    const client = new PeerClient({
+      name,
+      secret,
+      peerName: address.name,
+      url: `ws://${address.host}:${address.port}`,
+      ...(handlers === undefined ? {} : { handlers }),
+      onReady: () => onReady?.(address.name),
+    });
+    this.clients.set(address.name, client);
+  }
+
+  /** Closes the connections to all peers but these. */
+  keepOnly(names: ReadonlySet<string>): void {
+    for (const [name, client] of this.clients) {
+      if (names.has(name)) continue;
+      client.close();
+      this.clients.delete(name);
+    }
+  }
+
+  /** Closes all connections for good. */
+  close(): void {
+    this.closed = true;
+    this.keepOnly(new Set());
+  }
+}
--- /dev/null
+++ b/packages/whole-jobs/src/commands.ts
@@ -0,0 +1,97 @@
+/**
+ * Commands of the groups that hold whole jobs, and their answers. A command carries `atMs`, the
+ * wall clock of the leader that proposed it; replicas never read a clock of their own.
+ */
+
+interface Timed {
+  readonly atMs: number;
+}
+
+/** One item of a job as submitted. */
+export interface SubmittedItem {
+  readonly itemId: string;
+  readonly path: string;
+  /** Name, value, name, value, … */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  /** Tokens of the prompt and the most that may be generated. */
+  readonly tokens: number;
+}
+
+/** Accepts a whole job, or finds the one with the same id. */
+export interface SubmitJob extends Timed {
+  readonly type: 'submitJob';
+  readonly jobId: string;
+  /** Host and path of the submission; they select the route of the items. */
+  readonly host: string;
+  readonly path: string;
+  /** Jobs with the same key share one bound on waiting tokens. */
+  readonly quotaKey: string;
+  /** 0 is no bound. */
+  readonly maxWaitingTokens: number;
+  /** Time after the submission from which its items may be given up. */
+  readonly keepItemsMs: number;
+  /** Failed runs after which an item is given up. */
+  readonly maxAttempts: number;
+  readonly items: readonly SubmittedItem[];
+}
+
+/** How an item ended. */
+export type ItemEnd = 'complete' | 'errored';
+
+/** A result of an item. */
+export interface FinishedItem {
+  readonly jobId: string;
+  readonly index: number;
+  readonly state: ItemEnd;
+  readonly text: string;
+}
+
+/** An item whose run failed at an endpoint. */
+export interface FailedItem {
+  readonly jobId: string;
+  readonly index: number;
+  /** Names the run, so that a repeated command counts it once. */
+  readonly runId: string;
+}
+
+/** Stores results and counts failed runs. */
+export interface CommitRuns extends Timed {
+  readonly type: 'commitRuns';
+  readonly finished: readonly FinishedItem[];
+  readonly failed: readonly FailedItem[];
+}
+
+/** Ends a job: what is not listed yet will not run any more. */
+export interface EndJob extends Timed {
+  readonly type: 'endJob';
+  readonly jobId: string;
+}
+
+/** Gives up items that were kept long enough, and forgets old jobs. */
+export interface Sweep extends Timed {
+  readonly type: 'sweep';
+  /** Time after the submission for which a job that is over stays readable. */
+  readonly retentionMs: number;
+}
+
+/** Any command of a job group. */
+export type WholeJobCommand = SubmitJob | CommitRuns | EndJob | Sweep;
+
+/** Answer to {@link SubmitJob}. */
+export interface SubmitAnswer {
+  readonly outcome: 'accepted' | 'known' | 'overQuota';
+  /** Tokens waiting under the quota key after the command. */
+  readonly waitingTokens: number;
+}
+
+/** Answer to {@link CommitRuns}. */
+export interface CommitAnswer {
+  readonly stored: number;
+  readonly dropped: number;
+}
+
+/** Answer to {@link EndJob}. */
+export interface EndAnswer {
+  readonly outcome: 'ended' | 'unknown';
+}
