Count every failed run of an item: run numbers are unique in a process

Change: one counter a process; the calls to stores and endpoints became interfaces, so that the test runs without either.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js'],
+  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
   timeout: '3m',
   workerThreads: false,
 };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'node_modules/**', 'bench/out/**'] },
+  { ignores: ['**/dist/**', 'node_modules/**', 'bench/out/**', 'target/**', 'journal/**'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
@@ -14,5 +14,5 @@
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
     },
   },
-  { files: ['**/*.js'], ...tseslint.configs.disableTypeChecked },
+  { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
 );
--- a/packages/control-client/src/leader-caller.ts
+++ b/packages/control-client/src/leader-caller.ts
@@ -17,6 +17,11 @@
   call(method: string, payload: unknown, timeoutMs: number): Promise<unknown>;
 }
 
+/** Calls whichever process leads a group. */
+export interface GroupCaller {
+  call(method: string, group: number, payload: unknown, timeoutMs: number): Promise<unknown>;
+}
+
 /** Options of {@link LeaderCaller}. */
 export interface LeaderCallerOptions {
   /** The processes to ask, as of now. */
@@ -25,8 +30,8 @@
   readonly maxAttemptMs?: number;
 }
 
-/** Calls whichever process leads a group. */
-export class LeaderCaller {
+/** {@link GroupCaller} that follows the leaders. */
+export class LeaderCaller implements GroupCaller {
   private readonly ports: () => readonly CallPort[];
   private readonly maxAttemptMs: number;
   private readonly leaders = new Map<number, string>();
@@ -38,12 +43,7 @@
   }
 
   /** Calls until the leader has answered, a failure is final, or the time is up. */
-  async call(
-    method: string,
-    group: number,
-    payload: unknown,
-    timeoutMs: number,
-  ): Promise<unknown> {
+  async call(method: string, group: number, payload: unknown, timeoutMs: number): Promise<unknown> {
     const deadlineMs = performance.now() + timeoutMs;
     let pauseMs = FIRST_PAUSE_MS;
     let ran: 'no' | 'unknown' = 'no';
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -145,7 +145,10 @@
     const { settings, name } = this.options;
     const files = new NodeFileSystem(settings.dataDir);
     await files.prepare();
-    this.releaseLock = await lockFolder(settings.dataDir);
+    this.releaseLock = await lockFolder(settings.dataDir, () => {
+      const reason = 'this system has no sockets for it';
+      this.options.logger.warn('data folder not locked', { step: 'lock data folder', reason });
+    });
     const storage = await Storage.open({
       files,
       onHealth: (failure) => {
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -324,4 +324,3 @@
   const { control } = settings.listeners;
   return control === undefined ? {} : { controlAddress: control };
 }
-
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -51,6 +51,11 @@
   resume(): void;
 }
 
+/** Sends requests to endpoints. */
+export interface RequestSender {
+  send(send: Send, receiver: SendReceiver): RunningSend;
+}
+
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
   readonly protocol: EndpointProtocol;
@@ -58,8 +63,8 @@
   readonly maxConnections?: number;
 }
 
-/** Kept connections to endpoints. */
-export class EndpointSender {
+/** {@link RequestSender} over kept connections. */
+export class EndpointSender implements RequestSender {
   private readonly protocol: EndpointProtocol;
   private readonly maxConnections: number;
   private readonly pools = new Map<string, Pool>();
@@ -73,7 +78,7 @@
   send(send: Send, receiver: SendReceiver): RunningSend {
     const running = new SendHandler(this.protocol, send.requestId, receiver);
     const options: Dispatcher.DispatchOptions = {
-      method: send.method as Dispatcher.HttpMethod,
+      method: send.method,
       path: send.path,
       headers: [...send.headers],
       body: send.body.length === 0 ? null : send.body,
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -3,7 +3,7 @@
  */
 import type { Route } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
-import type { EndpointSender, RunningSend, SendResult } from './endpoint-sender.js';
+import type { RequestSender, RunningSend, SendResult } from './endpoint-sender.js';
 import type { CallerRequest, EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
 import { RequestPlan } from './request-plan.js';
 import type { PlanStep, SendOutcome } from './request-plan.js';
@@ -52,7 +52,7 @@
 
 /** Options of {@link Forwarder}. */
 export interface ForwarderOptions {
-  readonly sender: EndpointSender;
+  readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly chooser: EndpointChooser;
   readonly logger: Logger;
@@ -96,6 +96,7 @@
   private headSent = false;
   private running: RunningSend | undefined;
   private firstPartMs: number | undefined;
+  private pendingHead: EndpointHead | undefined;
 
   constructor(options: ForwarderOptions, task: ForwardTask) {
     this.options = options;
@@ -121,13 +122,13 @@
     let step = this.plan.first();
     while (step.action === 'send') {
       const endpoint = await this.findEndpoint();
-      if (this.isGone) return this.close('callerGone');
+      if (this.hasLeft()) return this.close('callerGone');
       if (endpoint === undefined) {
         step = this.plan.giveUp(this.options.nowMs());
         break;
       }
       const result = await this.sendTo(endpoint, step.resumeAfterEventId);
-      if (this.isGone) return this.close('callerGone');
+      if (this.hasLeft()) return this.close('callerGone');
       if (result.kind === 'complete') {
         this.task.sink.end();
         return this.close('complete');
@@ -142,6 +143,11 @@
     return this.finish(step);
   }
 
+  /** Whether the caller has left; asked anew after each wait. */
+  private hasLeft(): boolean {
+    return this.isGone;
+  }
+
   /** Waits a little for an endpoint; a caller is better served by an early refusal. */
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
     const { chooser, nowMs } = this.options;
@@ -209,8 +215,6 @@
     return result;
   }
 
-  private pendingHead: EndpointHead | undefined;
-
   /** A stream that goes on elsewhere keeps the head of its first endpoint. */
   private sendHead(): void {
     if (this.headSent || this.pendingHead === undefined) return;
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -95,9 +95,7 @@
   /** Endpoints of a service that may take work now. */
   usable(service: string): SlotCandidate[] {
     const nowMs = this.options.nowMs();
-    return this.directory
-      .forService(service, nowMs)
-      .map((known) => this.candidateOf(known, nowMs));
+    return this.directory.forService(service, nowMs).map((known) => this.candidateOf(known, nowMs));
   }
 
   /** Whether an endpoint may take work now. */
@@ -145,7 +143,9 @@
       return;
     }
     const isFailure =
-      result.kind === 'ended' && result.outcome.kind !== 'refused' && result.outcome.kind !== 'failed';
+      result.kind === 'ended' &&
+      result.outcome.kind !== 'refused' &&
+      result.outcome.kind !== 'failed';
     if (!isFailure) {
       this.directory.inconclusive(endpointId);
       return;
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -4,7 +4,7 @@
  * started obeys nothing older than what was acknowledged.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { LeaderCaller } from '@shedline/control-client';
+import type { GroupCaller } from '@shedline/control-client';
 import { FLEET_GROUP } from '@shedline/fleet-control';
 import type { RefreshAnswer, RefreshRequest } from '@shedline/fleet-control';
 import { KnownFleet } from '@shedline/fleet';
@@ -23,7 +23,7 @@
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions {
   readonly controls: PeerBook;
-  readonly caller: LeaderCaller;
+  readonly caller: GroupCaller;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onHeartbeats: (heartbeats: readonly AgedHeartbeat[]) => void;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -131,7 +131,10 @@
     this.timer = setInterval(() => {
       this.sweep();
     }, SWEEP_INTERVAL_MS);
-    this.logger.info('entry ready', { step: 'start', version: this.follower.fleet.position.version });
+    this.logger.info('entry ready', {
+      step: 'start',
+      version: this.follower.fleet.position.version,
+    });
   }
 
   /** Whether callers should be sent here. */
@@ -305,7 +308,10 @@
   private addGauges(): void {
     this.metrics.gauge('shedline_open_requests', () => this.openRequests);
     this.metrics.gauge('shedline_held_items', () => this.runner.heldCount);
-    this.metrics.gauge('shedline_configuration_version', () => this.follower.fleet.position.version);
+    this.metrics.gauge(
+      'shedline_configuration_version',
+      () => this.follower.fleet.position.version,
+    );
     this.metrics.gauge('shedline_control_silence_milliseconds', () => this.follower.silentMs);
   }
 
--- /dev/null
+++ b/packages/gateway/src/item-runner.test.ts
@@ -0,0 +1,218 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import test from 'ava';
+import type { GroupCaller } from '@shedline/control-client';
+import { KnownFleet } from '@shedline/fleet';
+import type {
+  EndpointProtocol,
+  RequestSender,
+  RunningSend,
+  SendResult,
+} from '@shedline/forwarding';
+import { createLogger } from '@shedline/logger';
+import { MemoryItemFiles } from '@shedline/storage';
+import { describe, title } from '@shedline/test-utils';
+import { ItemDispenser, WholeJobs } from '@shedline/whole-jobs';
+import type { CommitRuns, ItemRef } from '@shedline/whole-jobs';
+import { EndpointPool } from './endpoint-pool.js';
+import { ItemRunner } from './item-runner.js';
+import { quotaKeyOf } from './job-desk.js';
+
+const HOST = 'host.example';
+const PREFIX = '/jobs/';
+const HOLDER = 'entry/1';
+const MAX_ATTEMPTS = 3;
+
+const ROUTE = {
+  name: 'jobs',
+  host: HOST,
+  pathPrefix: PREFIX,
+  kind: 'jobs',
+  targets: [{ service: 'svc', weight: 1 }],
+  timeLimitMs: 15_000,
+  targetMs: 400,
+  rank: 2,
+  maxAttempts: MAX_ATTEMPTS,
+  isResumable: true,
+  longestPauseMs: 200,
+  jobs: { resultsDueMs: 18_000, keepItemsMs: 60_000, maxWaitingTokens: 0 },
+} as const;
+
+/** Stores with one group, in memory. */
+class FakeStores implements GroupCaller {
+  readonly jobs = new WholeJobs(new MemoryItemFiles());
+  private readonly dispenser = new ItemDispenser({ leaseMs: 4000 });
+  private logIndex = 0;
+  private readonly nowMs: () => number;
+
+  constructor(nowMs: () => number) {
+    this.nowMs = nowMs;
+  }
+
+  submit(itemIds: readonly string[]): void {
+    this.logIndex += 1;
+    this.jobs.apply(
+      {
+        type: 'submitJob',
+        atMs: this.nowMs(),
+        jobId: 'job',
+        host: HOST,
+        path: `${PREFIX}1`,
+        quotaKey: quotaKeyOf(ROUTE),
+        maxWaitingTokens: 0,
+        keepItemsMs: 60_000,
+        maxAttempts: MAX_ATTEMPTS,
+        items: itemIds.map((itemId) => ({
+          itemId,
+          path: `${PREFIX}1/${itemId}`,
+          headers: [],
+          body: Buffer.from('body'),
+          tokens: 10,
+        })),
+      },
+      this.logIndex,
+    );
+  }
+
+  call(method: string, _group: number, payload: unknown): Promise<unknown> {
+    const { body } = payload as { body: never };
+    return Promise.resolve(this.answer(method, body));
+  }
+
+  private answer(method: string, body: unknown): unknown {
+    const request = body as { holder: string; quotaKey: string; maxItems: number; refs: ItemRef[] };
+    if (method === 'grantItems') {
+      const granted = this.dispenser.grant(this.jobs, request, this.nowMs());
+      const items = granted.map(({ job, index }) => ({
+        ...job.identity,
+        index,
+        item: job.item(index),
+      }));
+      return { items, waitingItems: 0 };
+    }
+    if (method === 'renewItems') {
+      return this.dispenser.renew(this.jobs, request.holder, request.refs, this.nowMs());
+    }
+    if (method === 'releaseItems') {
+      this.dispenser.release(request.holder, request.refs);
+      return true;
+    }
+    this.logIndex += 1;
+    const command = { ...(body as CommitRuns), type: 'commitRuns' as const, atMs: this.nowMs() };
+    return this.jobs.apply(command, this.logIndex);
+  }
+}
+
+/** Endpoints that answer as the test says. */
+class FakeSender implements RequestSender {
+  sends = 0;
+  private readonly answer: (itemId: string) => SendResult;
+
+  constructor(answer: (itemId: string) => SendResult) {
+    this.answer = answer;
+  }
+
+  send(send: { readonly requestId: string }): RunningSend {
+    this.sends += 1;
+    const result = pause(5).then(() => this.answer(send.requestId));
+    return { result, stop: () => undefined, resume: () => undefined };
+  }
+}
+
+const HEAD = {
+  headers: [],
+  requestId: undefined,
+  isNotExecuted: false,
+  isSigned: true,
+  isEventStream: false,
+};
+
+const PROTOCOL: EndpointProtocol = {
+  sendHeaders: () => [],
+  readHead: (status) => ({ ...HEAD, status }),
+};
+
+function createRunner(stores: FakeStores, sender: RequestSender): ItemRunner {
+  const nowMs = (): number => performance.now();
+  const fleet = new KnownFleet();
+  fleet.take({
+    position: { version: 1, leaveCount: 0 },
+    leaving: [],
+    configuration: {
+      version: 1,
+      routes: [ROUTE],
+      services: [{ name: 'svc', healthPath: '/', maxConnections: 10 }],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    },
+    stores: { clusterId: 'c', initialMembers: [], jobGroupCount: 1, voterCount: 1 },
+  });
+  const pool = new EndpointPool({
+    availabilityZone: 'z',
+    heartbeatMs: 60_000,
+    random: Math.random,
+    nowMs,
+    isLeaving: () => false,
+    onLoadChange: () => undefined,
+    onSlotWanted: () => undefined,
+  });
+  const heartbeat = {
+    endpointId: 'e1',
+    service: 'svc',
+    address: '127.0.0.1:1',
+    availabilityZone: 'z',
+    slots: 4,
+    warmUpLeftMs: 0,
+    sequence: 1,
+  };
+  pool.hear([{ heartbeat, ageMs: 0 }]);
+  return new ItemRunner({
+    holder: HOLDER,
+    self: 'entry',
+    stores,
+    fleet,
+    pool,
+    sender,
+    protocol: PROTOCOL,
+    logger: createLogger({ level: 'silent' }),
+    nowMs,
+    liveEntries: () => ['entry'],
+  });
+}
+
+async function untilClosed(stores: FakeStores): Promise<void> {
+  while (stores.jobs.get('job')?.isOpen === true) await pause(10);
+}
+
+describe('item runner', () => {
+  test(title('gives an item up after as many failed runs as the route allows'), async (t) => {
+    const stores = new FakeStores(() => performance.now());
+    const sender = new FakeSender(() => ({
+      kind: 'failure',
+      head: { ...HEAD, status: 500 },
+      body: Buffer.alloc(0),
+    }));
+    const runner = createRunner(stores, sender);
+    stores.submit(['a']);
+    runner.start();
+    await untilClosed(stores);
+    await runner.drain();
+    t.is(sender.sends, MAX_ATTEMPTS);
+    t.deepEqual(stores.jobs.results('job', 0, 1000)?.results, [
+      { itemId: 'a', state: 'errored', text: '' },
+    ]);
+  });
+
+  test(title('runs an item that can never be done once'), async (t) => {
+    const stores = new FakeStores(() => performance.now());
+    const sender = new FakeSender(() => ({
+      kind: 'failure',
+      head: { ...HEAD, status: 422 },
+      body: Buffer.alloc(0),
+    }));
+    const runner = createRunner(stores, sender);
+    stores.submit(['a', 'b']);
+    runner.start();
+    await untilClosed(stores);
+    await runner.drain();
+    t.is(sender.sends, 2);
+  });
+});
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -4,14 +4,14 @@
  * goes on with them later from the events that it already has.
  */
 import { BatchOwnership, chooseStreamsToStop, spareSlots } from '@shedline/batch';
-import type { LeaderCaller } from '@shedline/control-client';
+import type { GroupCaller } from '@shedline/control-client';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import type { GrantAnswer, GrantedItem } from '@shedline/fleet-control';
 import { dataOf } from '@shedline/forwarding';
 import type {
   CallerRequest,
   EndpointProtocol,
-  EndpointSender,
+  RequestSender,
   RunningSend,
   SendResult,
 } from '@shedline/forwarding';
@@ -40,10 +40,10 @@
   /** Name of this entry; holds items under it. */
   readonly holder: string;
   readonly self: string;
-  readonly stores: LeaderCaller;
+  readonly stores: GroupCaller;
   readonly fleet: KnownFleet;
   readonly pool: EndpointPool;
-  readonly sender: EndpointSender;
+  readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -61,7 +61,8 @@
   lastEventId: string | undefined;
   readyAtMs: number;
   run: ItemRun | undefined;
-  runCount: number;
+  /** Number of its latest run at this entry. */
+  runNumber: number;
 }
 
 interface ItemRun {
@@ -80,6 +81,8 @@
   private readonly waitingItems = new Map<string, number>();
   private timers: NodeJS.Timeout[] = [];
   private draining = false;
+  /** Runs begun by this process; an item may come here more than once, its runs stay apart. */
+  private runsBegun = 0;
 
   constructor(options: ItemRunnerOptions) {
     this.options = options;
@@ -258,7 +261,7 @@
       lastEventId: undefined,
       readyAtMs: 0,
       run: undefined,
-      runCount: 0,
+      runNumber: 0,
     });
   }
 
@@ -268,7 +271,8 @@
     if (address === undefined) return;
     const { granted } = item;
     const request = callerRequestOf(granted);
-    item.runCount += 1;
+    this.runsBegun += 1;
+    item.runNumber = this.runsBegun;
     pool.batchChange(endpointId, 1);
     const sending = sender.send(
       {
@@ -298,7 +302,7 @@
       request: granted.item.itemId,
       job: granted.jobId,
       endpoint: endpointId,
-      run: item.runCount,
+      run: item.runNumber,
       events: item.pieces.length,
     });
     void sending.result.then((result) => {
@@ -331,7 +335,7 @@
 
   /** The stores count failed runs; this entry goes on with the item unless they say otherwise. */
   private fail(item: HeldItem): void {
-    const runId = `${this.options.holder}/${keyOf(item.ref)}/${item.runCount}`;
+    const runId = `${this.options.holder}/${keyOf(item.ref)}/${item.runNumber}`;
     this.held.delete(keyOf(item.ref));
     this.reporter.failed(item.group, { ...item.ref, runId }, () => {
       void this.release(item.group, [item]);
@@ -390,7 +394,7 @@
       job: item.ref.jobId,
       index: item.ref.index,
       endpoint: endpointId,
-      run: item.runCount,
+      run: item.runNumber,
       outcome,
       events: item.pieces.length,
       ...(result.kind === 'failure' ? { status: result.head.status } : {}),
--- a/packages/gateway/src/job-desk.ts
+++ b/packages/gateway/src/job-desk.ts
@@ -1,7 +1,7 @@
 /**
  * Takes batch jobs from callers and answers questions about them, through the stores.
  */
-import type { LeaderCaller } from '@shedline/control-client';
+import type { GroupCaller } from '@shedline/control-client';
 import { ShedlineError, toShedlineError } from '@shedline/errors';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import { hostName } from '@shedline/fleet';
@@ -40,7 +40,7 @@
 
 /** Options of {@link JobDesk}. */
 export interface JobDeskOptions {
-  readonly stores: LeaderCaller;
+  readonly stores: GroupCaller;
   readonly fleet: KnownFleet;
   readonly logger: Logger;
 }
--- a/packages/gateway/src/run-reporter.ts
+++ b/packages/gateway/src/run-reporter.ts
@@ -2,7 +2,7 @@
  * Reports results and failed runs to the stores until they have them.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { LeaderCaller } from '@shedline/control-client';
+import type { GroupCaller } from '@shedline/control-client';
 import type { Logger } from '@shedline/logger';
 import type { FailedItem, FinishedItem } from '@shedline/whole-jobs';
 
@@ -13,7 +13,7 @@
 
 /** Options of {@link RunReporter}. */
 export interface RunReporterOptions {
-  readonly stores: LeaderCaller;
+  readonly stores: GroupCaller;
   readonly logger: Logger;
 }
 
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -42,7 +42,11 @@
     silent: level === 'silent',
     defaultMeta: options.instance === undefined ? {} : { instance: options.instance },
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-    transports: [new winston.transports.Stream({ stream: new BoundedStream(target) })],
+    transports: [
+      // The types of winston declare its transports as interfaces, not as classes.
+      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+      new winston.transports.Stream({ stream: new BoundedStream(target) }),
+    ],
   });
 }
 
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/member-register.ts
@@ -32,8 +32,7 @@
       known.heardAtMs = nowMs;
       return;
     }
-    const isOld =
-      known?.record.epoch === record.epoch && known.record.sequence > record.sequence;
+    const isOld = known?.record.epoch === record.epoch && known.record.sequence > record.sequence;
     if (isOld) return;
     this.heard.set(record.name, { record, heardAtMs: nowMs });
     this.isDirty = true;
