Batch items: stops are no failures, items go back with their progress, jobs that can be on time first

Change: a stop settles before the connection is aborted; items are handed back with their events so far, kept by the leader; turns by due time and by what an item still needs; a slot must have been free for 200 ms; renewals wait until the leader has applied its log.

--- a/packages/fleet-control/src/protocol.ts
+++ b/packages/fleet-control/src/protocol.ts
@@ -5,8 +5,10 @@
 import type {
   FailedItem,
   FinishedItem,
+  ItemProgress,
   ItemRef,
   ResultsPage,
+  ReturnedItem,
   SubmitJob,
   SubmittedItem,
 } from '@shedline/whole-jobs';
@@ -28,24 +30,20 @@
 /** A job as an entry submits it; the leader adds its clock. */
 export type JobSubmission = Omit<SubmitJob, 'type' | 'atMs'>;
 
-/** Asks for items to run. */
-export interface GrantRequest {
-  readonly holder: string;
-  readonly quotaKey: string;
-  readonly maxItems: number;
-}
-
 /** An item that its holder is to run. */
 export interface GrantedItem {
   readonly jobId: string;
   readonly index: number;
   readonly host: string;
   readonly path: string;
-  readonly submittedAtMs: number;
+  /** Wall clock at which its job is due. */
+  readonly dueAtMs: number;
   readonly item: SubmittedItem;
+  /** How far an earlier run got. */
+  readonly progress?: ItemProgress;
 }
 
-/** Answer to {@link GrantRequest}. */
+/** Answer to a request for items. */
 export interface GrantAnswer {
   readonly items: readonly GrantedItem[];
   /** Items under the quota key that still wait for a holder. */
@@ -58,6 +56,12 @@
   readonly refs: readonly ItemRef[];
 }
 
+/** What a holder hands back. */
+export interface ReleaseRequest {
+  readonly holder: string;
+  readonly items: readonly ReturnedItem[];
+}
+
 /** Results and failed runs of a holder. */
 export interface RunReport {
   readonly finished: readonly FinishedItem[];
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -10,7 +10,7 @@
 import type { Logger } from '@shedline/logger';
 import { PeerBook } from '@shedline/transport';
 import { ItemDispenser } from '@shedline/whole-jobs';
-import type { ItemRef, WholeJobCommand } from '@shedline/whole-jobs';
+import type { ItemRef, ItemRequest, WholeJobCommand } from '@shedline/whole-jobs';
 import { WholeJobGroup } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { ProcessCore } from './process-core.js';
@@ -18,9 +18,9 @@
   BodyAnswer,
   BodyRequest,
   GrantAnswer,
-  GrantRequest,
   JobEndedMessage,
   RefreshAnswer,
+  ReleaseRequest,
   RenewRequest,
   ResultsAnswer,
   ResultsRequest,
@@ -225,11 +225,11 @@
       case 'itemBody':
         return this.itemBody(host, machine, body as BodyRequest);
       case 'grantItems':
-        return this.grant(host, machine, body as GrantRequest);
+        return this.grant(host, machine, body as ItemRequest);
       case 'renewItems':
         return this.renew(host, machine, body as RenewRequest);
       case 'releaseItems':
-        return this.release(group, body as RenewRequest);
+        return this.release(host, body as ReleaseRequest);
       default:
         throw this.unavailable(method, `${this.core.name} answers no ${method}`);
     }
@@ -275,26 +275,44 @@
     return { body: job.findItem(request.itemId)?.body };
   }
 
-  private grant(host: GroupHost, machine: WholeJobGroup, request: GrantRequest): GrantAnswer {
+  private grant(host: GroupHost, machine: WholeJobGroup, request: ItemRequest): GrantAnswer {
     this.requireLeading(host, 'grantItems');
     const { jobs } = machine;
     const dispenser = this.dispenserOf(host.group);
-    const granted = dispenser.grant(jobs, request, this.nowMs());
-    const items = granted.map(({ job, index }) => {
-      const { jobId, host: jobHost, path, submittedAtMs } = job.identity;
-      return { jobId, index, host: jobHost, path, submittedAtMs, item: job.item(index) };
+    const time = { nowMs: this.nowMs(), wallMs: Date.now() };
+    const granted = dispenser.grant(jobs, request, time);
+    const items = granted.map(({ job, index, progress }) => {
+      const { jobId, host: jobHost, path } = job.identity;
+      const { dueAtMs } = job;
+      const item = job.item(index);
+      return {
+        jobId,
+        index,
+        host: jobHost,
+        path,
+        dueAtMs,
+        item,
+        ...(progress === undefined ? {} : { progress }),
+      };
     });
     return { items, waitingItems: dispenser.unheldCount(jobs, request.quotaKey, this.nowMs()) };
   }
 
-  private renew(host: GroupHost, machine: WholeJobGroup, request: RenewRequest): ItemRef[] {
-    this.requireLeading(host, 'renewItems');
+  private async renew(
+    host: GroupHost,
+    machine: WholeJobGroup,
+    request: RenewRequest,
+  ): Promise<ItemRef[]> {
+    // A leader that was just elected may not have applied all jobs yet: it must not call items
+    // over that it does not know.
+    await host.confirmLeadership();
     const dispenser = this.dispenserOf(host.group);
     return dispenser.renew(machine.jobs, request.holder, request.refs, this.nowMs());
   }
 
-  private release(group: number, request: RenewRequest): true {
-    this.dispenserOf(group).release(request.holder, request.refs);
+  private release(host: GroupHost, request: ReleaseRequest): true {
+    this.requireLeading(host, 'releaseItems');
+    this.dispenserOf(host.group).release(request.holder, request.items);
     return true;
   }
 
--- /dev/null
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -0,0 +1,151 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import test from 'ava';
+import { describe, title } from '@shedline/test-utils';
+import { EndpointSender } from './endpoint-sender.js';
+import type { SendResult } from './endpoint-sender.js';
+import type { EndpointHead, EndpointProtocol } from './protocol.js';
+
+const REQUEST_ID = 'request-1';
+const STREAM_HEAD =
+  'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nStamp: s\r\n' +
+  `Id: ${REQUEST_ID}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const PROTOCOL: EndpointProtocol = {
+  sendHeaders: () => [],
+  readHead: (status, headers): EndpointHead => {
+    const value = (name: string): string | undefined => {
+      const index = headers.findIndex((text, at) => at % 2 === 0 && text.toLowerCase() === name);
+      return index === -1 ? undefined : headers[index + 1];
+    };
+    return {
+      status,
+      headers,
+      requestId: value('id'),
+      isNotExecuted: value('not-executed') !== undefined,
+      isSigned: value('stamp') !== undefined,
+      isEventStream: value('content-type') === 'text/event-stream',
+    };
+  },
+};
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** An endpoint that answers each request with raw bytes. */
+async function endpoint(answer: (socket: Socket) => void): Promise<Server> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      answer(socket);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
+
+interface Sent {
+  readonly result: SendResult;
+  readonly parts: string[];
+}
+
+async function sendTo(
+  port: number,
+  onPart: (stop: () => void) => void = () => undefined,
+): Promise<Sent> {
+  const sender = new EndpointSender({ protocol: PROTOCOL });
+  const parts: string[] = [];
+  const running = sender.send(
+    {
+      address: `127.0.0.1:${port}`,
+      requestId: REQUEST_ID,
+      method: 'POST',
+      path: '/',
+      headers: [],
+      body: Buffer.from('body'),
+    },
+    {
+      onHead: () => undefined,
+      onPart: (bytes) => {
+        parts.push(bytes.toString());
+        onPart(() => {
+          running.stop();
+        });
+        return true;
+      },
+    },
+  );
+  const result = await running.result;
+  await sender.destroy();
+  return { result, parts };
+}
+
+async function answeredWith(bytes: string, closes: 'keep' | 'end' | 'reset'): Promise<Sent> {
+  const server = await endpoint((socket) => {
+    socket.write(bytes, () => {
+      if (closes === 'end') socket.end();
+      if (closes === 'reset') setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  const sent = await sendTo((server.address() as AddressInfo).port);
+  server.close();
+  return sent;
+}
+
+describe('endpoint sender', () => {
+  test(
+    title('reports a stop of its own as a stop, not as a failure of the endpoint'),
+    async (t) => {
+      const server = await endpoint((socket) =>
+        socket.write(STREAM_HEAD + chunk('id: 1\ndata: a\n\n')),
+      );
+      const { result } = await sendTo((server.address() as AddressInfo).port, (stop) => {
+        stop();
+      });
+      server.close();
+      t.is(result.kind, 'stopped');
+    },
+  );
+
+  test(title('gives whole events and notes a stream that breaks off inside one'), async (t) => {
+    const bytes = STREAM_HEAD + chunk('id: 1\ndata: a\n\nid: 2\nda');
+    const { result, parts } = await answeredWith(bytes, 'reset');
+    t.deepEqual(parts, ['id: 1\ndata: a\n\n']);
+    t.like(result, { kind: 'ended', outcome: { kind: 'brokeOff' } });
+  });
+
+  test(title('takes a stream for complete only at its last chunk'), async (t) => {
+    const event = chunk('id: 1\ndata: a\n\n');
+    t.is((await answeredWith(`${STREAM_HEAD}${event}0\r\n\r\n`, 'keep')).result.kind, 'complete');
+    t.like((await answeredWith(STREAM_HEAD + event, 'end')).result, {
+      outcome: { kind: 'brokeOff' },
+    });
+  });
+
+  test(title('knows a refusal that says that nothing ran'), async (t) => {
+    const bytes = 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+    const { result } = await answeredWith(bytes, 'keep');
+    t.deepEqual(result, { kind: 'ended', outcome: { kind: 'refused', status: 503 } });
+  });
+
+  test(title('takes an answer to another request, or without signature, for lost'), async (t) => {
+    const foreign = 'HTTP/1.1 200 OK\r\nStamp: s\r\nId: other\r\nContent-Length: 1\r\n\r\nx';
+    const unsigned = `HTTP/1.1 200 OK\r\nId: ${REQUEST_ID}\r\nContent-Length: 1\r\n\r\nx`;
+    for (const bytes of [foreign, unsigned]) {
+      const { result, parts } = await answeredWith(bytes, 'keep');
+      t.like(result, { kind: 'ended', outcome: { kind: 'lost' } });
+      t.deepEqual(parts, []);
+    }
+  });
+
+  test(title('tells a request that never went out from one that may have run'), async (t) => {
+    const server = await endpoint((socket) => socket.resetAndDestroy());
+    const { port } = server.address() as AddressInfo;
+    t.like((await sendTo(port)).result, { kind: 'ended', outcome: { kind: 'lost' } });
+    await new Promise((resolve) => server.close(resolve));
+    t.like((await sendTo(port)).result, { kind: 'ended', outcome: { kind: 'notSent' } });
+  });
+});
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -149,8 +149,9 @@
 
   stop(): void {
     this.isStopped = true;
-    this.controller?.abort(new Error('no longer wanted'));
+    // Settled first: the abort below is reported as an error of the connection.
     this.settle({ kind: 'stopped' });
+    this.controller?.abort(new Error('no longer wanted'));
   }
 
   resume(): void {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -307,7 +307,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_open_requests', () => this.openRequests);
-    this.metrics.gauge('shedline_held_items', () => this.runner.heldCount);
+    this.metrics.gauge('shedline_running_items', () => this.runner.runningCount);
     this.metrics.gauge(
       'shedline_configuration_version',
       () => this.follower.fleet.position.version,
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -12,7 +12,7 @@
 import { MemoryItemFiles } from '@shedline/storage';
 import { describe, title } from '@shedline/test-utils';
 import { ItemDispenser, WholeJobs } from '@shedline/whole-jobs';
-import type { CommitRuns, ItemRef } from '@shedline/whole-jobs';
+import type { CommitRuns, ItemRef, ItemRequest, ReturnedItem } from '@shedline/whole-jobs';
 import { EndpointPool } from './endpoint-pool.js';
 import { ItemRunner } from './item-runner.js';
 import { quotaKeyOf } from './job-desk.js';
@@ -40,6 +40,7 @@
 /** Stores with one group, in memory. */
 class FakeStores implements GroupCaller {
   readonly jobs = new WholeJobs(new MemoryItemFiles());
+  readonly returned: ReturnedItem[] = [];
   private readonly dispenser = new ItemDispenser({ leaseMs: 4000 });
   private logIndex = 0;
   private readonly nowMs: () => number;
@@ -59,6 +60,7 @@
         path: `${PREFIX}1`,
         quotaKey: quotaKeyOf(ROUTE),
         maxWaitingTokens: 0,
+        resultsDueMs: 18_000,
         keepItemsMs: 60_000,
         maxAttempts: MAX_ATTEMPTS,
         items: itemIds.map((itemId) => ({
@@ -79,13 +81,16 @@
   }
 
   private answer(method: string, body: unknown): unknown {
-    const request = body as { holder: string; quotaKey: string; maxItems: number; refs: ItemRef[] };
+    const request = body as ItemRequest & { refs: ItemRef[]; items: ReturnedItem[] };
     if (method === 'grantItems') {
-      const granted = this.dispenser.grant(this.jobs, request, this.nowMs());
-      const items = granted.map(({ job, index }) => ({
+      const time = { nowMs: this.nowMs(), wallMs: this.nowMs() };
+      const granted = this.dispenser.grant(this.jobs, request, time);
+      const items = granted.map(({ job, index, progress }) => ({
         ...job.identity,
+        dueAtMs: job.dueAtMs,
         index,
         item: job.item(index),
+        progress,
       }));
       return { items, waitingItems: 0 };
     }
@@ -93,7 +98,8 @@
       return this.dispenser.renew(this.jobs, request.holder, request.refs, this.nowMs());
     }
     if (method === 'releaseItems') {
-      this.dispenser.release(request.holder, request.refs);
+      this.returned.push(...request.items);
+      this.dispenser.release(request.holder, request.items);
       return true;
     }
     this.logIndex += 1;
@@ -183,6 +189,31 @@
 }
 
 describe('item runner', () => {
+  test(
+    title('hands an item back that its endpoint broke off, with what it made so far'),
+    async (t) => {
+      const stores = new FakeStores(() => performance.now());
+      const sender: RequestSender = {
+        send: (_send, receiver) => {
+          receiver.onPart(Buffer.alloc(0), { bytes: Buffer.from('id: 1\ndata: a\n\n'), id: '1' });
+          const outcome = { kind: 'brokeOff', reason: 'reset' } as const;
+          const result = Promise.resolve({ kind: 'ended', outcome } as const);
+          return { result, stop: () => undefined, resume: () => undefined };
+        },
+      };
+      const runner = createRunner(stores, sender);
+      stores.submit(['a']);
+      runner.start();
+      while (stores.returned.length === 0) await pause(10);
+      await runner.drain();
+      t.deepEqual(stores.returned[0], {
+        jobId: 'job',
+        index: 0,
+        progress: { pieces: ['a'], lastEventId: '1' },
+      });
+    },
+  );
+
   test(title('gives an item up after as many failed runs as the route allows'), async (t) => {
     const stores = new FakeStores(() => performance.now());
     const sender = new FakeSender(() => ({
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -1,43 +1,46 @@
 /**
  * Runs the items of batch jobs in the slots that online work leaves. Each endpoint has one entry
  * that runs batch work there; it stops items at once when online work wants their slots, and
- * goes on with them later from the events that it already has.
+ * hands them back with what they made so far, so that any entry can go on with them.
  */
-import { BatchOwnership, chooseStreamsToStop, spareSlots } from '@shedline/batch';
+import { BatchOwnership, RecentPeak, chooseStreamsToStop, spareSlots } from '@shedline/batch';
 import type { GroupCaller } from '@shedline/control-client';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import type { GrantAnswer, GrantedItem } from '@shedline/fleet-control';
-import { dataOf } from '@shedline/forwarding';
-import type {
-  CallerRequest,
-  EndpointProtocol,
-  RequestSender,
-  RunningSend,
-  SendResult,
-} from '@shedline/forwarding';
+import type { EndpointProtocol, RequestSender, SendResult } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { SlotCandidate } from '@shedline/routing';
-import type { ItemRef } from '@shedline/whole-jobs';
+import type { ItemRef, ReturnedItem } from '@shedline/whole-jobs';
 import type { EndpointPool } from './endpoint-pool.js';
+import { ItemRun } from './item-run.js';
 import { jobGroupOf, quotaKeyOf } from './job-desk.js';
 import { RunReporter } from './run-reporter.js';
 
 /** Time between looks at the slots. */
 const TICK_MS = 40;
 /** Time between requests for items while some wait, and while none do. */
-const ASK_INTERVAL_MS = 80;
+const ASK_INTERVAL_MS = 60;
 const IDLE_ASK_INTERVAL_MS = 200;
 const ASK_TIMEOUT_MS = 1000;
 const RENEW_INTERVAL_MS = 1000;
-/** Slots of an endpoint that are left free for online requests. */
-const RESERVED_SLOTS = 1;
-/** Pause before an item goes out again after an endpoint would not take it or failed it. */
-const RETRY_PAUSE_MS = 150;
+const RENEW_TIMEOUT_MS = 1500;
+/** Two owners at once for this long only fill an endpoint's queue; no item runs twice by it. */
+const TAKEOVER_WAIT_MS = 400;
+/** Slots left free for online requests: none, since an item yields its slot within a few ms. */
+const RESERVED_SLOTS = 0;
+/** A slot must have been free for this long before an item starts in it. */
+const START_AFTER_MS = 200;
+/** Time that a whole item is taken to need before one was seen. */
+const FIRST_RUN_MS = 5000;
+/** Events that a whole item is taken to have before one was seen. */
+const FIRST_RUN_EVENTS = 200;
+/** Weight of the newest whole run in the time that items are taken to need. */
+const RUN_SMOOTHING = 0.2;
 const CANNOT_BE_DONE_STATUS = 422;
 
 /** Options of {@link ItemRunner}. */
 export interface ItemRunnerOptions {
-  /** Name of this entry; holds items under it. */
+  /** Name of this run of the entry; holds items under it. */
   readonly holder: string;
   readonly self: string;
   readonly stores: GroupCaller;
@@ -51,24 +54,15 @@
   readonly liveEntries: () => readonly string[];
 }
 
-/** An item that this entry holds. */
-interface HeldItem {
-  readonly ref: ItemRef;
-  readonly group: number;
-  readonly granted: GrantedItem;
-  /** Data of the events so far. */
-  readonly pieces: string[];
-  lastEventId: string | undefined;
-  readyAtMs: number;
-  run: ItemRun | undefined;
-  /** Number of its latest run at this entry. */
-  runNumber: number;
-}
-
-interface ItemRun {
-  readonly endpointId: string;
-  readonly startedAtMs: number;
-  readonly sending: RunningSend;
+/** What is known of the jobs under one quota key. */
+interface RouteState {
+  askedAtMs: number;
+  isAsking: boolean;
+  waitingItems: number;
+  /** Time that a whole item takes. */
+  runMs: number;
+  /** Events of a whole item. */
+  runEvents: number;
 }
 
 /** Items under way at this entry. */
@@ -76,9 +70,9 @@
   private readonly options: ItemRunnerOptions;
   private readonly ownership: BatchOwnership;
   private readonly reporter: RunReporter;
-  private readonly held = new Map<string, HeldItem>();
-  private readonly askedAtMs = new Map<string, number>();
-  private readonly waitingItems = new Map<string, number>();
+  private readonly runs = new Map<string, ItemRun>();
+  private readonly routes = new Map<string, RouteState>();
+  private readonly peaks = new Map<string, RecentPeak>();
   private timers: NodeJS.Timeout[] = [];
   private draining = false;
   /** Runs begun by this process; an item may come here more than once, its runs stay apart. */
@@ -86,13 +80,13 @@
 
   constructor(options: ItemRunnerOptions) {
     this.options = options;
-    this.ownership = new BatchOwnership({ self: options.self });
+    this.ownership = new BatchOwnership({ self: options.self, takeoverWaitMs: TAKEOVER_WAIT_MS });
     this.reporter = new RunReporter({ stores: options.stores, logger: options.logger });
   }
 
-  /** Items held here, running or waiting. */
-  get heldCount(): number {
-    return this.held.size;
+  /** Items that run here. */
+  get runningCount(): number {
+    return this.runs.size;
   }
 
   /** Starts. */
@@ -111,22 +105,24 @@
   async drain(): Promise<void> {
     this.draining = true;
     for (const timer of this.timers) clearInterval(timer);
-    for (const item of this.held.values()) item.run?.sending.stop();
+    const runs = [...this.runs.values()];
+    this.runs.clear();
+    for (const run of runs) run.stop();
+    await Promise.all(
+      [...byGroup(runs)].map(([group, own]) => this.release(group, own.map(returned))),
+    );
     await this.reporter.flush();
-    await Promise.all(this.heldByGroup().map(([group, items]) => this.release(group, items)));
-    this.held.clear();
   }
 
   /** Makes room at an endpoint where an online request wants a slot. */
   slotWanted(endpointId: string): void {
-    const running = this.runningAt(endpointId);
-    this.stopExcess(endpointId, running.length - 1);
+    this.stopExcess(endpointId, this.runsAt(endpointId).length - 1);
   }
 
   /** Stops the items of a job that was ended. */
   jobEnded(jobId: string): void {
-    for (const item of this.held.values()) {
-      if (item.ref.jobId === jobId) this.drop(item, 'job ended');
+    for (const run of this.runs.values()) {
+      if (run.ref.jobId === jobId) this.drop(run, 'job ended');
     }
   }
 
@@ -136,30 +132,44 @@
   }
 
   private tick(): void {
-    const routes = this.jobRoutes();
-    for (const route of routes) this.serveRoute(route);
-  }
-
-  private jobRoutes(): Route[] {
     const routes = this.options.fleet.routes?.configuration.routes ?? [];
-    return routes.filter((route) => route.kind === 'jobs');
+    for (const route of routes) {
+      if (route.kind === 'jobs') this.serveRoute(route);
+    }
   }
 
   private serveRoute(route: Route): void {
+    const free = this.freeSlots(route);
+    const wanted = [...free.values()].reduce((sum, count) => sum + count, 0);
+    if (wanted > 0) void this.ask(route, wanted);
+  }
+
+  /** Free slots at the endpoints that this entry owns; stops items where there are too many. */
+  private freeSlots(route: Route): Map<string, number> {
     const nowMs = this.options.nowMs();
     const usable = this.usableFor(route);
-    this.ownership.update(
-      usable.map(({ endpointId }) => endpointId),
-      this.options.liveEntries(),
-      nowMs,
-    );
+    const endpointIds = usable.map(({ endpointId }) => endpointId);
+    this.ownership.update(endpointIds, this.options.liveEntries(), nowMs);
     const owned = new Set(this.ownership.owned(nowMs));
-    let free = 0;
-    for (const candidate of usable) {
-      if (!owned.has(candidate.endpointId)) continue;
-      free += this.fill(candidate, route);
+    const free = new Map<string, number>();
+    for (const { endpointId, online, slots } of usable) {
+      if (!owned.has(endpointId)) continue;
+      const running = this.runsAt(endpointId).length;
+      const mayRun = spareSlots({ slots, online, reserve: RESERVED_SLOTS });
+      const peak = this.peakOf(endpointId).note(online, nowMs);
+      const mayStart = spareSlots({ slots, online: peak, reserve: RESERVED_SLOTS });
+      if (running > mayRun) this.stopExcess(endpointId, mayRun);
+      else if (running < mayStart) free.set(endpointId, mayStart - running);
     }
-    if (free > 0) void this.ask(route, free);
+    return free;
+  }
+
+  private peakOf(endpointId: string): RecentPeak {
+    const known = this.peaks.get(endpointId);
+    if (known !== undefined) return known;
+    const fresh = new RecentPeak({ windowMs: START_AFTER_MS });
+    this.peaks.set(endpointId, fresh);
+    return fresh;
   }
 
   private usableFor(route: Route): SlotCandidate[] {
@@ -167,236 +177,189 @@
     return services.flatMap(({ service }) => this.options.pool.usable(service));
   }
 
-  /** Stops or starts items at an endpoint; gives the slots that stay free. */
-  private fill(candidate: SlotCandidate, route: Route): number {
-    const { endpointId, online, slots } = candidate;
-    const allowed = spareSlots({ slots, online, reserve: RESERVED_SLOTS });
-    const running = this.runningAt(endpointId).length;
-    if (running > allowed) {
-      this.stopExcess(endpointId, allowed);
-      return 0;
-    }
-    let free = allowed - running;
-    for (const item of this.readyItems(route)) {
-      if (free === 0) break;
-      this.startRun(item, endpointId);
-      free -= 1;
-    }
-    return free;
-  }
-
-  private runningAt(endpointId: string): HeldItem[] {
-    return [...this.held.values()].filter((item) => item.run?.endpointId === endpointId);
+  private runsAt(endpointId: string): ItemRun[] {
+    return [...this.runs.values()].filter((run) => run.endpointId === endpointId);
   }
 
   private stopExcess(endpointId: string, allowed: number): void {
-    const streams = this.runningAt(endpointId).map((item) => ({
-      streamId: keyOf(item.ref),
-      startedAtMs: item.run?.startedAtMs ?? 0,
-      tokens: item.pieces.length,
+    const streams = this.runsAt(endpointId).map((run) => ({
+      streamId: keyOf(run.ref),
+      startedAtMs: run.startedAtMs,
+      tokens: run.eventCount,
       stoppable: true,
     }));
     for (const { streamId } of chooseStreamsToStop(streams, allowed)) {
-      this.held.get(streamId)?.run?.sending.stop();
+      this.runs.get(streamId)?.stop();
     }
   }
 
-  /** Items that wait here for a slot, the oldest jobs first. */
-  private readyItems(route: Route): HeldItem[] {
-    const nowMs = this.options.nowMs();
+  private stateOf(route: Route): RouteState {
     const key = quotaKeyOf(route);
-    const ready = [...this.held.values()].filter((item) => {
-      if (item.run !== undefined || item.readyAtMs > nowMs) return false;
-      const { host, path } = item.granted;
-      const own = this.options.fleet.routes?.find(host, path);
-      return own !== undefined && quotaKeyOf(own) === key;
-    });
-    return ready.sort((a, b) => a.granted.submittedAtMs - b.granted.submittedAtMs);
+    const known = this.routes.get(key);
+    if (known !== undefined) return known;
+    const fresh = {
+      askedAtMs: -Infinity,
+      isAsking: false,
+      waitingItems: 0,
+      runMs: FIRST_RUN_MS,
+      runEvents: FIRST_RUN_EVENTS,
+    };
+    this.routes.set(key, fresh);
+    return fresh;
   }
 
-  private async ask(route: Route, free: number): Promise<void> {
-    const key = quotaKeyOf(route);
-    const nowMs = this.options.nowMs();
-    const waits = (this.waitingItems.get(key) ?? 0) > 0;
-    const intervalMs = waits ? ASK_INTERVAL_MS : IDLE_ASK_INTERVAL_MS;
-    if (nowMs - (this.askedAtMs.get(key) ?? -Infinity) < intervalMs) return;
-    const cluster = this.options.fleet.storeCluster;
-    if (cluster === undefined || this.draining) return;
-    this.askedAtMs.set(key, nowMs + ASK_TIMEOUT_MS);
-    const group = jobGroupOf(route.host, cluster.jobGroupCount);
-    const body = { holder: this.options.holder, quotaKey: key, maxItems: free };
+  private async ask(route: Route, maxItems: number): Promise<void> {
+    const { stores, fleet, holder, logger, nowMs } = this.options;
+    const state = this.stateOf(route);
+    const intervalMs = state.waitingItems > 0 ? ASK_INTERVAL_MS : IDLE_ASK_INTERVAL_MS;
+    const isEarly = nowMs() - state.askedAtMs < intervalMs;
+    if (isEarly || state.isAsking || this.draining || fleet.storeCluster === undefined) return;
+    const group = jobGroupOf(route.host, fleet.storeCluster.jobGroupCount);
+    const { runMs, runEvents } = state;
+    const body = { holder, quotaKey: quotaKeyOf(route), maxItems, runMs, runEvents };
+    state.isAsking = true;
     try {
-      const raw = await this.options.stores.call(
-        'grantItems',
-        group,
-        { group, body },
-        ASK_TIMEOUT_MS,
-      );
+      const raw = await stores.call('grantItems', group, { group, body }, ASK_TIMEOUT_MS);
       const answer = raw as GrantAnswer;
-      this.waitingItems.set(key, answer.waitingItems);
-      for (const granted of answer.items) this.take(group, granted);
+      state.waitingItems = answer.waitingItems;
+      this.startAll(group, answer.items, route);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      this.options.logger.debug('no items granted', { step: 'grant', group, reason });
+      logger.debug('no items granted', { step: 'grant', group, reason });
     } finally {
-      this.askedAtMs.set(key, this.options.nowMs());
+      state.isAsking = false;
+      state.askedAtMs = nowMs();
     }
-    this.fillOwned(route);
   }
 
-  private fillOwned(route: Route): void {
-    const owned = new Set(this.ownership.owned(this.options.nowMs()));
-    for (const candidate of this.usableFor(route)) {
-      if (owned.has(candidate.endpointId)) this.fill(candidate, route);
+  /** Starts what was granted where there is still room; the rest goes back. */
+  private startAll(group: number, items: readonly GrantedItem[], route: Route): void {
+    const free = this.draining ? new Map<string, number>() : this.freeSlots(route);
+    const left = [...items];
+    for (const [endpointId, count] of free) {
+      for (const granted of left.splice(0, count)) this.startRun(group, granted, endpointId, route);
     }
+    if (left.length > 0) void this.release(group, left.map(notStarted));
   }
 
-  private take(group: number, granted: GrantedItem): void {
-    const ref = { jobId: granted.jobId, index: granted.index };
-    this.held.set(keyOf(ref), {
-      ref,
-      group,
-      granted,
-      pieces: [],
-      lastEventId: undefined,
-      readyAtMs: 0,
-      run: undefined,
-      runNumber: 0,
-    });
-  }
-
-  private startRun(item: HeldItem, endpointId: string): void {
-    const { pool, sender, protocol, nowMs, logger } = this.options;
+  private startRun(group: number, granted: GrantedItem, endpointId: string, route: Route): void {
+    const { pool, sender, protocol, nowMs } = this.options;
     const address = pool.addressOf(endpointId);
-    if (address === undefined) return;
-    const { granted } = item;
-    const request = callerRequestOf(granted);
+    if (address === undefined) {
+      void this.release(group, [notStarted(granted)]);
+      return;
+    }
     this.runsBegun += 1;
-    item.runNumber = this.runsBegun;
+    const runNumber = this.runsBegun;
+    const target = { endpointId, address, sender, protocol, nowMs };
+    const run = new ItemRun({ runNumber, group, granted, ...target });
+    this.runs.set(keyOf(run.ref), run);
     pool.batchChange(endpointId, 1);
-    const sending = sender.send(
-      {
-        address,
-        requestId: request.requestId,
-        method: request.method,
-        path: request.path,
-        headers: protocol.sendHeaders(request, {
-          endpointId,
-          timeLeftMs: undefined,
-          resumeAfterEventId: item.lastEventId,
-        }),
-        body: request.body,
-      },
-      {
-        onHead: () => undefined,
-        onPart: (bytes, event) => {
-          item.pieces.push(event === undefined ? bytes.toString('utf8') : dataOf(event));
-          if (event?.id !== undefined) item.lastEventId = event.id;
-          return true;
-        },
-      },
-    );
-    item.run = { endpointId, startedAtMs: nowMs(), sending };
-    logger.debug('item sent', {
-      step: 'run item',
-      request: granted.item.itemId,
-      job: granted.jobId,
-      endpoint: endpointId,
-      run: item.runNumber,
-      events: item.pieces.length,
-    });
-    void sending.result.then((result) => {
-      this.runEnded(item, endpointId, result);
+    void run.result.then((result) => {
+      this.runEnded(run, result, route);
     });
   }
 
-  private runEnded(item: HeldItem, endpointId: string, result: SendResult): void {
-    const { pool, nowMs } = this.options;
-    item.run = undefined;
-    pool.batchChange(endpointId, -1);
-    pool.judge(endpointId, result, undefined);
-    this.logEnd(item, endpointId, result);
-    if (this.held.get(keyOf(item.ref)) !== item) return;
+  private runEnded(run: ItemRun, result: SendResult, route: Route): void {
+    const { pool } = this.options;
+    pool.batchChange(run.endpointId, -1);
+    pool.judge(run.endpointId, result, undefined);
+    this.logEnd(run, result);
+    if (this.runs.get(keyOf(run.ref)) !== run) return;
+    this.runs.delete(keyOf(run.ref));
     if (result.kind === 'complete') {
-      this.finish(item, 'complete', item.pieces.join('\n'));
+      this.noteRunTime(run, route);
+      this.reporter.finished(run.group, { ...run.ref, state: 'complete', text: run.text });
     } else if (result.kind === 'failure' && result.head.status === CANNOT_BE_DONE_STATUS) {
-      this.finish(item, 'errored', '');
+      this.reporter.finished(run.group, { ...run.ref, state: 'errored', text: '' });
     } else if (result.kind === 'failure') {
-      this.fail(item);
-    } else if (result.kind === 'ended') {
-      item.readyAtMs = nowMs() + RETRY_PAUSE_MS;
+      this.reportFailure(run);
+    } else {
+      void this.release(run.group, [returned(run)]);
     }
+    this.tick();
   }
 
-  private finish(item: HeldItem, state: 'complete' | 'errored', text: string): void {
-    this.held.delete(keyOf(item.ref));
-    this.reporter.finished(item.group, { ...item.ref, state, text });
+  private noteRunTime(run: ItemRun, route: Route): void {
+    const state = this.stateOf(route);
+    state.runEvents += RUN_SMOOTHING * (run.eventCount - state.runEvents);
+    if (!run.isWhole) return;
+    const tookMs = this.options.nowMs() - run.startedAtMs;
+    state.runMs += RUN_SMOOTHING * (tookMs - state.runMs);
   }
 
-  /** The stores count failed runs; this entry goes on with the item unless they say otherwise. */
-  private fail(item: HeldItem): void {
-    const runId = `${this.options.holder}/${keyOf(item.ref)}/${item.runNumber}`;
-    this.held.delete(keyOf(item.ref));
-    this.reporter.failed(item.group, { ...item.ref, runId }, () => {
-      void this.release(item.group, [item]);
+  /** The stores count failed runs; the item may be handed out again once they have. */
+  private reportFailure(run: ItemRun): void {
+    const runId = `${this.options.holder}/${keyOf(run.ref)}/${run.runNumber}`;
+    this.reporter.failed(run.group, { ...run.ref, runId }, () => {
+      void this.release(run.group, [returned(run)]);
     });
   }
 
-  private drop(item: HeldItem, reason: string): void {
-    this.held.delete(keyOf(item.ref));
-    item.run?.sending.stop();
-    const { jobId, index } = item.ref;
+  private drop(run: ItemRun, reason: string): void {
+    this.runs.delete(keyOf(run.ref));
+    run.stop();
+    const { jobId, index } = run.ref;
     this.options.logger.info('item dropped', { step: 'run item', job: jobId, index, reason });
   }
 
   private renew(): void {
-    for (const [group, items] of this.heldByGroup()) void this.renewGroup(group, items);
+    this.logState();
+    for (const [group, runs] of byGroup(this.runs.values())) void this.renewGroup(group, runs);
   }
 
-  private async renewGroup(group: number, items: readonly HeldItem[]): Promise<void> {
-    const body = { holder: this.options.holder, refs: items.map((item) => item.ref) };
+  private async renewGroup(group: number, runs: readonly ItemRun[]): Promise<void> {
+    const { stores, holder, logger } = this.options;
+    const body = { holder, refs: runs.map((run) => run.ref) };
     try {
-      const raw = await this.options.stores.call('renewItems', group, { group, body }, 1500);
-      for (const ref of raw as ItemRef[]) {
-        const item = this.held.get(keyOf(ref));
-        if (item !== undefined) this.drop(item, 'over or held by another entry');
+      const raw = await stores.call('renewItems', group, { group, body }, RENEW_TIMEOUT_MS);
+      const lost = new Set((raw as ItemRef[]).map(keyOf));
+      for (const run of runs) {
+        const isCurrent = this.runs.get(keyOf(run.ref)) === run;
+        if (isCurrent && lost.has(keyOf(run.ref))) this.drop(run, 'over, or held by another entry');
       }
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      this.options.logger.debug('items not renewed', { step: 'renew', group, reason });
+      logger.debug('items not renewed', { step: 'renew', group, reason });
     }
   }
 
-  private async release(group: number, items: readonly HeldItem[]): Promise<void> {
-    const body = { holder: this.options.holder, refs: items.map((item) => item.ref) };
+  private async release(group: number, items: readonly ReturnedItem[]): Promise<void> {
+    const { stores, holder, logger } = this.options;
     try {
-      await this.options.stores.call('releaseItems', group, { group, body }, ASK_TIMEOUT_MS);
+      const body = { holder, items };
+      await stores.call('releaseItems', group, { group, body }, ASK_TIMEOUT_MS);
     } catch (error) {
       // Their leases run out by themselves.
       const reason = error instanceof Error ? error.message : String(error);
-      this.options.logger.info('items not handed back', { step: 'release', group, reason });
+      logger.info('items not handed back', { step: 'release', group, reason });
     }
   }
 
-  private heldByGroup(): [number, HeldItem[]][] {
-    const byGroup = new Map<number, HeldItem[]>();
-    for (const item of this.held.values()) {
-      byGroup.set(item.group, [...(byGroup.get(item.group) ?? []), item]);
-    }
-    return [...byGroup];
+  /** One line a second while there is batch work, so that idle slots can be explained. */
+  private logState(): void {
+    if (this.runs.size === 0) return;
+    this.options.logger.info('batch work', {
+      step: 'run item',
+      running: this.runs.size,
+      ownedEndpoints: this.ownership.owned(this.options.nowMs()),
+      waitingItems: [...this.routes.values()].reduce((sum, state) => sum + state.waitingItems, 0),
+    });
   }
 
-  private logEnd(item: HeldItem, endpointId: string, result: SendResult): void {
+  private logEnd(run: ItemRun, result: SendResult): void {
     const outcome = result.kind === 'ended' ? result.outcome.kind : result.kind;
+    const { jobId, index } = run.ref;
     this.options.logger.info('item run ended', {
       step: 'run item',
-      request: item.granted.item.itemId,
-      job: item.ref.jobId,
-      index: item.ref.index,
-      endpoint: endpointId,
-      run: item.runNumber,
+      request: run.granted.item.itemId,
+      job: jobId,
+      index,
+      endpoint: run.endpointId,
+      run: run.runNumber,
       outcome,
-      events: item.pieces.length,
+      events: run.eventCount,
+      tookMs: Math.round(this.options.nowMs() - run.startedAtMs),
       ...(result.kind === 'failure' ? { status: result.head.status } : {}),
     });
   }
@@ -406,13 +369,21 @@
   return `${ref.jobId}|${ref.index}`;
 }
 
-function callerRequestOf(granted: GrantedItem): CallerRequest {
-  const { item, host } = granted;
-  return {
-    requestId: item.itemId,
-    method: 'POST',
-    path: item.path,
-    headers: ['Host', host, ...item.headers],
-    body: Buffer.from(item.body),
-  };
+function returned(run: ItemRun): ReturnedItem {
+  const { progress } = run;
+  return { ...run.ref, ...(progress === undefined ? {} : { progress }) };
+}
+
+function notStarted({ jobId, index, progress }: GrantedItem): ReturnedItem {
+  return { jobId, index, ...(progress === undefined ? {} : { progress }) };
+}
+
+function byGroup(runs: Iterable<ItemRun>): Map<number, ItemRun[]> {
+  const groups = new Map<number, ItemRun[]>();
+  for (const run of runs) {
+    const own = groups.get(run.group) ?? [];
+    own.push(run);
+    groups.set(run.group, own);
+  }
+  return groups;
 }
--- a/packages/gateway/src/job-desk.ts
+++ b/packages/gateway/src/job-desk.ts
@@ -77,6 +77,7 @@
       path,
       quotaKey: quotaKeyOf(route),
       maxWaitingTokens: rules.maxWaitingTokens,
+      resultsDueMs: rules.resultsDueMs,
       keepItemsMs: rules.keepItemsMs,
       maxAttempts: route.maxAttempts,
       items,
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -29,6 +29,8 @@
   readonly quotaKey: string;
   /** 0 is no bound. */
   readonly maxWaitingTokens: number;
+  /** Time after the submission at which all results are due. */
+  readonly resultsDueMs: number;
   /** Time after the submission from which its items may be given up. */
   readonly keepItemsMs: number;
   /** Failed runs after which an item is given up. */
--- /dev/null
+++ b/packages/whole-jobs/src/item-dispenser.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { MemoryItemFiles } from '@shedline/storage';
+import { describe, title } from '@shedline/test-utils';
+import { ItemDispenser } from './item-dispenser.js';
+import type { ItemRequest } from './item-dispenser.js';
+import { WholeJobs } from './whole-jobs.js';
+
+const RUN_MS = 5000;
+const DUE_MS = 18_000;
+const LEASE_MS = 4000;
+const SETTLED_MS = 10_000;
+
+function jobsOf(submitted: readonly { jobId: string; atMs: number; items: number }[]): WholeJobs {
+  const jobs = new WholeJobs(new MemoryItemFiles());
+  for (const [index, { jobId, atMs, items }] of submitted.entries()) {
+    jobs.apply(
+      {
+        type: 'submitJob',
+        atMs,
+        jobId,
+        host: 'h',
+        path: '/p/',
+        quotaKey: 'key',
+        maxWaitingTokens: 0,
+        resultsDueMs: DUE_MS,
+        keepItemsMs: 60_000,
+        maxAttempts: 3,
+        items: Array.from({ length: items }, (_, item) => ({
+          itemId: `${jobId}-${item}`,
+          path: '/p/x',
+          headers: [],
+          body: new Uint8Array(0),
+          tokens: 1,
+        })),
+      },
+      index + 1,
+    );
+  }
+  return jobs;
+}
+
+function request(maxItems: number, holder = 'a'): ItemRequest {
+  return { holder, quotaKey: 'key', maxItems, runMs: RUN_MS, runEvents: 100 };
+}
+
+describe('item dispenser', () => {
+  test(title('serves jobs that can be on time by due time, late ones after them'), (t) => {
+    const jobs = jobsOf([
+      { jobId: 'late', atMs: 0, items: 1 },
+      { jobId: 'soon', atMs: 10_000, items: 1 },
+      { jobId: 'fresh', atMs: 14_000, items: 1 },
+    ]);
+    const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
+    const granted = dispenser.grant(jobs, request(3), { nowMs: SETTLED_MS, wallMs: 15_000 });
+    t.deepEqual(
+      granted.map(({ job }) => job.identity.jobId),
+      ['soon', 'fresh', 'late'],
+    );
+  });
+
+  test(title('takes what was made so far into account'), (t) => {
+    const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 2 }]);
+    const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
+    dispenser.grant(jobs, request(2), { nowMs: SETTLED_MS, wallMs: 0 });
+    const progress = { pieces: Array.from({ length: 90 }, () => 'x'), lastEventId: '90' };
+    dispenser.release('a', [
+      { jobId: 'j', index: 0 },
+      { jobId: 'j', index: 1, progress },
+    ]);
+    // Two seconds are left: too few for a whole item, enough for the rest of the second one.
+    const time = { nowMs: SETTLED_MS, wallMs: DUE_MS - 2000 };
+    const [first] = dispenser.grant(jobs, request(1, 'b'), time);
+    t.is(first?.index, 1);
+    t.deepEqual(first?.progress, progress);
+  });
+
+  test(title('hands out nothing until the holders could tell a new leader what they have'), (t) => {
+    const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 1 }]);
+    const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
+    dispenser.becameLeader(SETTLED_MS);
+    t.deepEqual(dispenser.grant(jobs, request(1), { nowMs: SETTLED_MS + 100, wallMs: 0 }), []);
+    t.deepEqual(dispenser.renew(jobs, 'b', [{ jobId: 'j', index: 0 }], SETTLED_MS + 200), []);
+    const later = { nowMs: SETTLED_MS + 2000, wallMs: 0 };
+    t.deepEqual(dispenser.grant(jobs, request(1), later), []);
+  });
+
+  test(title('gives an item to one holder at a time, and again once its lease ran out'), (t) => {
+    const steps = fc.array(
+      fc.record({ holder: fc.constantFrom('a', 'b', 'c'), stepMs: fc.nat(3000), max: fc.nat(4) }),
+      { maxLength: 40 },
+    );
+    fc.assert(
+      fc.property(steps, (grants) => {
+        const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 6 }]);
+        const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
+        const heldUntil = new Map<number, number>();
+        let nowMs = SETTLED_MS;
+        for (const { holder, stepMs, max } of grants) {
+          nowMs += stepMs;
+          for (const { index } of dispenser.grant(jobs, request(max, holder), {
+            nowMs,
+            wallMs: 0,
+          })) {
+            if ((heldUntil.get(index) ?? 0) > nowMs) return false;
+            heldUntil.set(index, nowMs + LEASE_MS);
+          }
+        }
+        return true;
+      }),
+      { seed: 2 },
+    );
+    t.pass();
+  });
+});
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -1,6 +1,7 @@
 /**
- * Hands out the items of a group while its member leads. Who holds what is kept in memory only:
- * an item may run more than once, so a new leader starts from what the holders tell it.
+ * Hands out the items of a group while its member leads. Who holds what, and how far an item got
+ * that was handed back, is kept in memory only: an item may run more than once, so a new leader
+ * starts from what the holders tell it.
  */
 import type { JobRecord } from './job-record.js';
 import type { WholeJobs } from './whole-jobs.js';
@@ -14,6 +15,36 @@
   readonly index: number;
 }
 
+/** How far an item got before its run was stopped. */
+export interface ItemProgress {
+  /** Data of its events so far. */
+  readonly pieces: readonly string[];
+  readonly lastEventId: string;
+}
+
+/** An item that is handed back. */
+export interface ReturnedItem extends ItemRef {
+  readonly progress?: ItemProgress;
+}
+
+/** Asks for items. */
+export interface ItemRequest {
+  readonly holder: string;
+  readonly quotaKey: string;
+  readonly maxItems: number;
+  /** Time that a whole item takes, as its holder sees it. */
+  readonly runMs: number;
+  /** Events of a whole item, as its holder sees it. */
+  readonly runEvents: number;
+}
+
+/** An item that was handed out. */
+export interface DispensedItem {
+  readonly job: JobRecord;
+  readonly index: number;
+  readonly progress: ItemProgress | undefined;
+}
+
 /** Options of {@link ItemDispenser}. */
 export interface ItemDispenserOptions {
   /** Time that an item stays with a silent holder. */
@@ -25,10 +56,28 @@
   untilMs: number;
 }
 
+/** Monotonic time for leases and wall time for due times. */
+export interface DispenserTime {
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+/** An item that waits, with what decides its turn. */
+interface WaitingItem extends DispensedItem {
+  /** Time that it probably still takes. */
+  readonly remainingMs: number;
+  /** Whether it will be late even if it starts now. */
+  readonly isLate: boolean;
+}
+
+/** Least share of a whole run that an item is taken to need still. */
+const MIN_REMAINING_SHARE = 0.1;
+
 /** Leases of items. */
 export class ItemDispenser {
   private readonly leaseMs: number;
   private readonly holdings = new Map<string, Holding>();
+  private readonly progress = new Map<string, ItemProgress>();
   private grantsFromMs = 0;
 
   constructor(options: ItemDispenserOptions) {
@@ -38,27 +87,21 @@
   /** The member began to lead. */
   becameLeader(nowMs: number): void {
     this.holdings.clear();
+    this.progress.clear();
     this.grantsFromMs = nowMs + SETTLE_MS;
   }
 
-  /** Hands out up to `maxItems` items whose jobs have one of the quota keys, oldest jobs first. */
-  grant(
-    jobs: WholeJobs,
-    request: { readonly holder: string; readonly quotaKey: string; readonly maxItems: number },
-    nowMs: number,
-  ): { readonly job: JobRecord; readonly index: number }[] {
-    if (nowMs < this.grantsFromMs) return [];
-    const granted: { job: JobRecord; index: number }[] = [];
-    for (const job of jobs.all) {
-      if (granted.length >= request.maxItems) break;
-      if (!job.isOpen || job.identity.quotaKey !== request.quotaKey) continue;
-      for (const index of job.openIndexes()) {
-        if (granted.length >= request.maxItems) break;
-        const ref = { jobId: job.identity.jobId, index };
-        if (this.isHeld(ref, nowMs)) continue;
-        this.hold(ref, request.holder, nowMs);
-        granted.push({ job, index });
-      }
+  /**
+   * Hands out items. Those that can still be on time come first, the earliest due before the
+   * others; what will be late in any case gets what is left, the nearest to its end first. So a
+   * backlog makes only some items late and not all of them.
+   */
+  grant(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): DispensedItem[] {
+    if (time.nowMs < this.grantsFromMs) return [];
+    const waiting = this.waitingItems(jobs, request, time).sort(byTurn);
+    const granted = waiting.slice(0, request.maxItems);
+    for (const { job, index } of granted) {
+      this.hold({ jobId: job.identity.jobId, index }, request.holder, time.nowMs);
     }
     return granted;
   }
@@ -76,10 +119,13 @@
     return lost;
   }
 
-  /** Takes back items that their holder will not finish. */
-  release(holder: string, refs: readonly ItemRef[]): void {
-    for (const ref of refs) {
-      if (this.holdings.get(keyOf(ref))?.holder === holder) this.holdings.delete(keyOf(ref));
+  /** Takes back items that their holder will not finish, with how far they got. */
+  release(holder: string, items: readonly ReturnedItem[]): void {
+    for (const item of items) {
+      const key = keyOf(item);
+      if (this.holdings.get(key)?.holder !== holder) continue;
+      this.holdings.delete(key);
+      if (item.progress !== undefined) this.progress.set(key, item.progress);
     }
   }
 
@@ -98,12 +144,30 @@
   /** Forgets leases that ran out and items that are over. */
   sweep(jobs: WholeJobs, nowMs: number): void {
     for (const [key, holding] of this.holdings) {
-      const [jobId = '', index = ''] = key.split('|');
-      const isOpen = jobs.get(jobId)?.mayRun(Number(index)) === true;
-      if (!isOpen || holding.untilMs <= nowMs) this.holdings.delete(key);
+      if (!isOpenItem(jobs, key) || holding.untilMs <= nowMs) this.holdings.delete(key);
+    }
+    for (const key of this.progress.keys()) {
+      if (!isOpenItem(jobs, key)) this.progress.delete(key);
     }
   }
 
+  private waitingItems(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): WaitingItem[] {
+    const waiting: WaitingItem[] = [];
+    for (const job of jobs.all) {
+      if (!job.isOpen || job.identity.quotaKey !== request.quotaKey) continue;
+      for (const index of job.openIndexes()) {
+        const ref = { jobId: job.identity.jobId, index };
+        if (this.isHeld(ref, time.nowMs)) continue;
+        const progress = this.progress.get(keyOf(ref));
+        const doneShare = (progress?.pieces.length ?? 0) / Math.max(1, request.runEvents);
+        const remainingMs = request.runMs * Math.max(MIN_REMAINING_SHARE, 1 - doneShare);
+        const isLate = job.dueAtMs - time.wallMs < remainingMs;
+        waiting.push({ job, index, progress, remainingMs, isLate });
+      }
+    }
+    return waiting;
+  }
+
   private isHeld(ref: ItemRef, nowMs: number): boolean {
     return (this.holdings.get(keyOf(ref))?.untilMs ?? 0) > nowMs;
   }
@@ -113,6 +177,18 @@
   }
 }
 
+function byTurn(a: WaitingItem, b: WaitingItem): number {
+  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+  const byDue = a.job.dueAtMs - b.job.dueAtMs;
+  const byRemaining = a.remainingMs - b.remainingMs;
+  return a.isLate ? byRemaining || byDue : byDue || byRemaining;
+}
+
 function keyOf(ref: ItemRef): string {
   return `${ref.jobId}|${ref.index}`;
 }
+
+function isOpenItem(jobs: WholeJobs, key: string): boolean {
+  const [jobId = '', index = ''] = key.split('|');
+  return jobs.get(jobId)?.mayRun(Number(index)) === true;
+}
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -15,7 +15,9 @@
   readonly path: string;
   readonly quotaKey: string;
   readonly maxAttempts: number;
+  /** Wall clock of the leader that accepted it. */
   readonly submittedAtMs: number;
+  readonly resultsDueMs: number;
   readonly keepItemsMs: number;
   /** Stem of the names of its files. */
   readonly fileName: string;
@@ -64,15 +66,19 @@
 
   /** A job as it was submitted. */
   static submitted(command: SubmitJob, fileName: string, files: ItemFiles): JobRecord {
-    const { jobId, host, path, quotaKey, maxAttempts, keepItemsMs, atMs } = command;
-    const job = new JobRecord(
-      { jobId, host, path, quotaKey, maxAttempts, keepItemsMs, submittedAtMs: atMs, fileName },
-      files,
-    );
+    const { jobId, host, path, quotaKey, maxAttempts, resultsDueMs, keepItemsMs } = command;
+    const rules = { quotaKey, maxAttempts, resultsDueMs, keepItemsMs };
+    const submittedAtMs = command.atMs;
+    const job = new JobRecord({ jobId, host, path, ...rules, submittedAtMs, fileName }, files);
     job.storeItems(command.items);
     return job;
   }
 
+  /** Wall clock at which its results are due. */
+  get dueAtMs(): number {
+    return this.identity.submittedAtMs + this.identity.resultsDueMs;
+  }
+
   /** Number of items. */
   get total(): number {
     return this.itemUnits.length;
