--- /dev/null
+++ b/packages/fleet/src/fleet.test.ts
@@ -0,0 +1,192 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { describe, title } from '@shedline/test-utils';
+import { configurationProblem } from './configuration.js';
+import type { Configuration, Route } from './configuration.js';
+import { EndpointRegister } from './endpoint-register.js';
+import { FleetState } from './fleet-state.js';
+import type { FleetCommand } from './fleet-state.js';
+import { KnownFleet } from './known-fleet.js';
+import { RouteTable, chooseService, hostName } from './route-table.js';
+
+function route(change: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'h.example',
+    pathPrefix: '/a/',
+    kind: 'stream',
+    targets: [{ service: 's', weight: 1 }],
+    timeLimitMs: 5000,
+    targetMs: 300,
+    rank: 0,
+    maxAttempts: 1,
+    isResumable: false,
+    longestPauseMs: 200,
+    ...change,
+  };
+}
+
+function configuration(version: number, routes: readonly Route[] = [route()]): Configuration {
+  return {
+    version,
+    routes,
+    services: [{ name: 's', healthPath: '/', maxConnections: 10 }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+function put(version: number, document = `document ${version}`): FleetCommand {
+  return { type: 'putConfiguration', configuration: configuration(version), document };
+}
+
+describe('configuration', () => {
+  test(title('is refused for an unknown service, a shared place, no weight and no time'), (t) => {
+    t.is(configurationProblem(configuration(1)), undefined);
+    const broken: Partial<Route>[] = [
+      { targets: [{ service: 'other', weight: 1 }] },
+      { targets: [{ service: 's', weight: 0 }] },
+      { targets: [] },
+      { timeLimitMs: 0 },
+      { pathPrefix: '/a' },
+    ];
+    for (const change of broken) {
+      t.regex(configurationProblem(configuration(1, [route(change)])) ?? '', /^route r: /);
+    }
+    const shared = configuration(1, [route(), route({ name: 'other' })]);
+    t.regex(configurationProblem(shared) ?? '', /same host and prefix/);
+  });
+});
+
+describe('routes', () => {
+  test(title('the longest prefix of the host wins'), (t) => {
+    const routes = [
+      route({ name: 'short' }),
+      route({ name: 'long', pathPrefix: '/a/b/' }),
+      route({ name: 'elsewhere', host: 'other.example' }),
+    ];
+    const table = new RouteTable(configuration(1, routes));
+    t.is(table.find('h.example', '/a/b/c')?.name, 'long');
+    t.is(table.find('H.example:80', '/a/c')?.name, 'short');
+    t.is(table.find('other.example', '/a/b/c')?.name, 'elsewhere');
+    t.is(table.find('h.example', '/b/'), undefined);
+    t.is(hostName('Name.Example:8080'), 'name.example');
+  });
+
+  test(title('a service without weight is never chosen'), (t) => {
+    const targets = fc.array(fc.record({ service: fc.string(), weight: fc.nat(5) }), {
+      minLength: 1,
+    });
+    fc.assert(
+      fc.property(
+        targets,
+        fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true }),
+        (all, unit) => {
+          fc.pre(all.some(({ weight }) => weight > 0));
+          const chosen = chooseService(route({ targets: all }), unit);
+          return all.some(({ service, weight }) => service === chosen && weight > 0);
+        },
+      ),
+      { seed: 3 },
+    );
+    t.pass();
+  });
+});
+
+describe('fleet state', () => {
+  const command = fc.oneof(
+    fc.nat(9).map((version) => put(version)),
+    fc.nat(9).map((id): FleetCommand => ({ type: 'recordLeave', endpointId: `e${id}` })),
+  );
+
+  test(title('the highest version stays in force, with the content that came first'), (t) => {
+    fc.assert(
+      fc.property(fc.array(command, { maxLength: 50 }), (commands) => {
+        const state = new FleetState();
+        let highest = -1;
+        for (const [index, next] of commands.entries()) {
+          const sent = next.type === 'putConfiguration' ? { ...next, document: `${index}` } : next;
+          const before = state.configurationDocument;
+          state.apply(sent);
+          const isNewer = sent.type === 'putConfiguration' && sent.configuration.version > highest;
+          if (sent.type === 'putConfiguration' && isNewer) {
+            highest = sent.configuration.version;
+            if (state.configurationDocument !== `${index}`) return false;
+          } else if (state.configurationDocument !== before) return false;
+          if (state.position.version !== highest) return false;
+        }
+        return true;
+      }),
+      { seed: 4 },
+    );
+    t.pass();
+  });
+
+  test(title('a reader that asks now and then knows all, and never goes back'), (t) => {
+    const steps = fc.array(fc.record({ command, reads: fc.boolean() }), { maxLength: 50 });
+    fc.assert(
+      fc.property(steps, (all) => {
+        const state = new FleetState();
+        const known = new KnownFleet();
+        let stale = state.deltaSince(known.position);
+        for (const { command: next, reads } of all) {
+          state.apply(next);
+          if (!reads) continue;
+          known.take(state.deltaSince(known.position));
+          const before = known.position;
+          // An old answer that arrives late changes nothing.
+          known.take(stale);
+          if (known.position.version !== before.version) return false;
+          if (known.position.leaveCount !== before.leaveCount) return false;
+          stale = state.deltaSince({ version: -1, leaveCount: 0 });
+        }
+        known.take(state.deltaSince(known.position));
+        const ids = Array.from({ length: 10 }, (_, id) => `e${id}`);
+        return (
+          known.position.version === state.position.version &&
+          ids.every((id) => known.isLeaving(id) === state.isLeaving(id))
+        );
+      }),
+      { seed: 5 },
+    );
+    t.pass();
+  });
+
+  test(title('a snapshot holds everything'), (t) => {
+    const state = new FleetState();
+    const cluster = { clusterId: 'c', initialMembers: ['a'], jobGroupCount: 4, voterCount: 3 };
+    for (const next of [put(3), { type: 'recordLeave', endpointId: 'e' } as const])
+      state.apply(next);
+    state.apply({ type: 'formStores', cluster });
+    state.apply({ type: 'formStores', cluster: { ...cluster, clusterId: 'later' } });
+    const copy = new FleetState();
+    copy.restore(state.toData());
+    t.deepEqual(copy.position, { version: 3, leaveCount: 1 });
+    t.is(copy.configurationDocument, 'document 3');
+    t.is(copy.storeCluster?.clusterId, 'c');
+    t.true(copy.isLeaving('e'));
+  });
+});
+
+describe('endpoint register', () => {
+  const heartbeat = (sequence: number) => ({
+    endpointId: 'e',
+    service: 's',
+    address: 'a:1',
+    availabilityZone: 'z',
+    slots: 8,
+    warmUpLeftMs: 0,
+    sequence,
+  });
+
+  test(title('gives what is new since a cursor, and all to a stranger'), (t) => {
+    const register = new EndpointRegister('epoch');
+    t.true(register.hear(heartbeat(2), 0, 100));
+    t.false(register.hear(heartbeat(1), 0, 200));
+    const first = register.since('', 0, 300);
+    t.is(first.heartbeats[0]?.ageMs, 200);
+    t.is(register.since('epoch', first.cursor, 300).heartbeats.length, 0);
+    t.is(register.since('other', first.cursor, 300).heartbeats.length, 1);
+    register.forgetSilent(60_000);
+    t.is(register.since('', 0, 60_000).heartbeats.length, 0);
+  });
+});
--- /dev/null
+++ b/packages/whole-jobs/src/whole-jobs.test.ts
@@ -0,0 +1,153 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { MemoryItemFiles } from '@shedline/storage';
+import { describe, title } from '@shedline/test-utils';
+import type { SubmitJob, WholeJobCommand } from './commands.js';
+import { WholeJobs } from './whole-jobs.js';
+
+const ITEMS = 3;
+const TOKENS = 10;
+const MAX_WAITING = 65;
+const MAX_ATTEMPTS = 2;
+const KEEP_MS = 60_000;
+
+function submit(jobId: string, atMs: number): SubmitJob {
+  return {
+    type: 'submitJob',
+    atMs,
+    jobId,
+    host: 'h',
+    path: '/p/',
+    quotaKey: 'key',
+    maxWaitingTokens: MAX_WAITING,
+    resultsDueMs: 18_000,
+    keepItemsMs: KEEP_MS,
+    maxAttempts: MAX_ATTEMPTS,
+    items: Array.from({ length: ITEMS }, (_, index) => ({
+      itemId: `${jobId}-${index}`,
+      path: '/p/x',
+      headers: ['X-A', 'b'],
+      body: Buffer.from(`body of ${jobId}-${index}`),
+      tokens: TOKENS,
+    })),
+  };
+}
+
+const jobId = fc.constantFrom('a', 'b', 'c', 'd');
+const item = fc.record({ jobId, index: fc.nat(ITEMS) });
+
+const command: fc.Arbitrary<WholeJobCommand> = fc.oneof(
+  jobId.map((id) => submit(id, 0)),
+  fc
+    .tuple(item, fc.constantFrom('complete' as const, 'errored' as const), fc.string())
+    .map(([ref, state, text]): WholeJobCommand => ({
+      type: 'commitRuns',
+      atMs: 0,
+      finished: [{ ...ref, state, text }],
+      failed: [],
+    })),
+  fc.tuple(item, fc.nat(3)).map(([ref, run]): WholeJobCommand => ({
+    type: 'commitRuns',
+    atMs: 0,
+    finished: [],
+    failed: [{ ...ref, runId: `run ${run}` }],
+  })),
+  jobId.map((id): WholeJobCommand => ({ type: 'endJob', atMs: 0, jobId: id })),
+);
+
+function listOf(jobs: WholeJobs, id: string): string[] {
+  const page = jobs.results(id, 0, Infinity);
+  return (page?.results ?? []).map(({ itemId, state, text }) => `${itemId} ${state} ${text}`);
+}
+
+describe('whole jobs', () => {
+  test(title('a listed result never changes, an item is listed once, the quota holds'), (t) => {
+    fc.assert(
+      fc.property(fc.array(command, { maxLength: 60 }), (commands) => {
+        const jobs = new WholeJobs(new MemoryItemFiles());
+        const lists = new Map<string, string[]>();
+        for (const [index, next] of commands.entries()) {
+          jobs.apply(next, index + 1);
+          if (jobs.waitingTokens('key') > MAX_WAITING) return false;
+          for (const id of ['a', 'b', 'c', 'd']) {
+            const list = listOf(jobs, id);
+            const before = lists.get(id) ?? [];
+            if (before.some((line, position) => list[position] !== line)) return false;
+            if (new Set(list.map((line) => line.split(' ')[0])).size !== list.length) return false;
+            lists.set(id, list);
+          }
+        }
+        return true;
+      }),
+      { seed: 8 },
+    );
+    t.pass();
+  });
+
+  test(title('a replica from a snapshot goes on as the others do'), (t) => {
+    fc.assert(
+      fc.property(
+        fc.array(command, { maxLength: 40 }),
+        fc.array(command, { maxLength: 40 }),
+        (before, after) => {
+          const files = new MemoryItemFiles();
+          const first = new WholeJobs(files);
+          for (const [index, next] of before.entries()) first.apply(next, index + 1);
+          const second = new WholeJobs(files);
+          second.restore(structuredClone(first.toData()));
+          for (const [index, next] of after.entries()) {
+            const logIndex = before.length + index + 1;
+            const answers = [first.apply(next, logIndex), second.apply(next, logIndex)];
+            if (JSON.stringify(answers[0]) !== JSON.stringify(answers[1])) return false;
+          }
+          return ['a', 'b', 'c', 'd'].every(
+            (id) => listOf(first, id).join('\n') === listOf(second, id).join('\n'),
+          );
+        },
+      ),
+      { seed: 9 },
+    );
+    t.pass();
+  });
+
+  test(title('a job sent again is the same job; one beyond the quota is refused whole'), (t) => {
+    const jobs = new WholeJobs(new MemoryItemFiles());
+    t.like(jobs.apply(submit('a', 0), 1), { outcome: 'accepted', waitingTokens: 30 });
+    t.like(jobs.apply(submit('a', 0), 2), { outcome: 'known', waitingTokens: 30 });
+    t.like(jobs.apply(submit('b', 0), 3), { outcome: 'accepted' });
+    t.like(jobs.apply(submit('c', 0), 4), { outcome: 'overQuota', waitingTokens: 60 });
+    t.is(jobs.get('c'), undefined);
+  });
+
+  test(title('bodies are readable, results in pages with at least one'), (t) => {
+    const jobs = new WholeJobs(new MemoryItemFiles());
+    jobs.apply(submit('a', 0), 1);
+    t.is(Buffer.from(jobs.get('a')?.findItem('a-1')?.body ?? []).toString(), 'body of a-1');
+    t.is(jobs.get('a')?.findItem('other'), undefined);
+    const finished = [0, 1, 2].map((index) => ({
+      jobId: 'a',
+      index,
+      state: 'complete' as const,
+      text: 'x'.repeat(100),
+    }));
+    jobs.apply({ type: 'commitRuns', atMs: 0, finished, failed: [] }, 2);
+    const page = jobs.results('a', 0, 1);
+    t.is(page?.results.length, 1);
+    t.is(page?.nextPosition, 1);
+    t.is(jobs.results('a', 1, 1000)?.results.length, 2);
+    t.is(jobs.results('a', 3, 1000)?.results.length, 0);
+    t.is(jobs.results('b', 0, 1000), undefined);
+  });
+
+  test(title('gives items up only after their time, and forgets only what is over'), (t) => {
+    const jobs = new WholeJobs(new MemoryItemFiles());
+    jobs.apply(submit('a', 0), 1);
+    jobs.apply({ type: 'sweep', atMs: KEEP_MS - 1, retentionMs: 1000 }, 2);
+    t.is(jobs.get('a')?.listedCount, 0);
+    jobs.apply({ type: 'sweep', atMs: KEEP_MS, retentionMs: KEEP_MS * 2 }, 3);
+    t.is(jobs.get('a')?.listedCount, ITEMS);
+    jobs.apply({ type: 'sweep', atMs: KEEP_MS * 2, retentionMs: KEEP_MS * 2 }, 4);
+    t.is(jobs.get('a'), undefined);
+    t.deepEqual(jobs.fileSizes(), []);
+  });
+});
