Empty a store before its instance is taken away

Change: the fleet state holds stores that retire; leaders replace their members by the planner that repairs, hand leadership on where they retire themselves; an order is complete once the leader of every group has committed members without the store.

--- a/packages/consensus/src/membership-planner.ts
+++ b/packages/consensus/src/membership-planner.ts
@@ -24,6 +24,8 @@
   /** Silence after which a voter is replaced. */
   readonly replaceAfterMs: number;
   readonly maxLagEntries?: number;
+  /** Members that are to be emptied: they are replaced although they are up. */
+  readonly retiringIds?: ReadonlySet<string>;
 }
 
 /** Never fewer voters than this by repair. */
@@ -55,6 +57,7 @@
 function isLost(options: PlanMembershipOptions, memberId: string): boolean {
   if (memberId === options.selfId) return false;
   if (isSuperseded(options, memberId)) return true;
+  if (options.retiringIds?.has(memberId) === true) return true;
   const status = options.members.get(memberId);
   return status !== undefined && status.silentMs >= options.replaceAfterMs;
 }
@@ -125,7 +128,10 @@
   const { config } = options;
   const members = [...config.voters, ...config.learners];
   const taken = new Set(members.filter((id) => !isLost(options, id)).map(instanceOf));
-  return options.liveIds.find((id) => !members.includes(id) && !taken.has(instanceOf(id)));
+  return options.liveIds.find(
+    (id) =>
+      !members.includes(id) && !taken.has(instanceOf(id)) && options.retiringIds?.has(id) !== true,
+  );
 }
 
 function addLearner(options: PlanMembershipOptions): GroupConfig | undefined {
--- a/packages/control-client/src/protocol.ts
+++ b/packages/control-client/src/protocol.ts
@@ -59,6 +59,8 @@
   readonly appliedIndex: number;
   readonly voters: readonly string[];
   readonly learners: readonly string[];
+  /** Whether the members named are committed. */
+  readonly isConfigCommitted: boolean;
 }
 
 /** State of one control instance. */
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -62,6 +62,8 @@
   roleChanged(host: GroupHost, memberId: string): void;
   /** Duties of a leader; `intervalMs` is the time since the last call. */
   leaderTick(host: GroupHost, nowMs: number, intervalMs: number): void;
+  /** Whether a process is to be emptied: its members are replaced. */
+  isRetiring?(instance: string): boolean;
   /** Duties of a leader that are due rarely. */
   housekeep(host: GroupHost): void;
 }
@@ -210,6 +212,7 @@
       appliedIndex: host.appliedIndex,
       voters: host.consensus.config.voters,
       learners: host.consensus.config.learners,
+      isConfigCommitted: !host.consensus.configChangePending,
     }));
   }
 
@@ -397,15 +400,23 @@
   private leaderDuties(): void {
     const nowMs = this.options.nowMs();
     for (const host of this.leading()) {
-      repairMembers(this.dutiesOf(host));
+      const duties = this.dutiesOf(host);
+      repairMembers(duties);
+      // A leader never removes itself: another one has to.
+      if (duties.retiringIds.has(this.ownMemberId)) host.transferLeadership(nowMs);
       this.options.role.leaderTick(host, nowMs, DUTY_INTERVAL_MS);
     }
     this.relieveWal();
   }
 
   private dutiesOf(host: GroupHost): MemberDutiesOptions {
-    const { settings, logger } = this.options;
-    return { host, memberId: this.ownMemberId, liveIds: this.liveIds(), settings, logger };
+    const { settings, logger, role } = this.options;
+    const liveIds = this.liveIds();
+    const { voters, learners } = host.consensus.config;
+    const known = new Set([...voters, ...learners, ...liveIds]);
+    const retiring = [...known].filter((id) => role.isRetiring?.(instanceOf(id)) === true);
+    const retiringIds = new Set(retiring);
+    return { host, memberId: this.ownMemberId, liveIds, settings, logger, retiringIds };
   }
 
   private relieveWal(): void {
--- a/packages/control/src/member-duties.ts
+++ b/packages/control/src/member-duties.ts
@@ -15,6 +15,8 @@
   readonly liveIds: readonly string[];
   readonly settings: GroupNodeSettings;
   readonly logger: Logger;
+  /** Members of processes that are to be emptied. */
+  readonly retiringIds: ReadonlySet<string>;
 }
 
 /** Takes the next step of repair, if one is due. */
@@ -38,6 +40,7 @@
     liveIds: options.liveIds,
     targetVoters: settings.voterCount,
     replaceAfterMs: settings.replaceAfterMs,
+    retiringIds: options.retiringIds,
   });
   if (next === undefined || !host.changeMembers(next)) return;
   const { voters, learners } = next;
@@ -47,7 +50,9 @@
 /** Hands the group to the voter that a hash prefers, so that leaders spread over the members. */
 export function spreadLeader(options: MemberDutiesOptions, nowMs: number): void {
   const { host, liveIds, memberId } = options;
-  const voters = host.consensus.config.voters.filter((voter) => liveIds.includes(voter));
+  const voters = host.consensus.config.voters.filter(
+    (voter) => liveIds.includes(voter) && !options.retiringIds.has(voter),
+  );
   const preferred = rendezvousOrder(`leader|${host.group}`, voters, 1)[0];
   if (preferred === undefined || preferred === memberId) return;
   host.consensus.transferLeadershipTo(preferred, nowMs);
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -8,7 +8,7 @@
 import { GroupNode, newCluster, planBootstrap } from '@shedline/control';
 import type { ClusterDocument, GroupHost, HelloAnswer } from '@shedline/control';
 import { LeaderCaller } from '@shedline/control-client';
-import type { CallPort } from '@shedline/control-client';
+import type { CallPort, GroupStatus } from '@shedline/control-client';
 import { ShedlineError } from '@shedline/errors';
 import { EndpointRegister, configurationProblem } from '@shedline/fleet';
 import type {
@@ -21,10 +21,13 @@
   FleetPosition,
 } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
+import type { MemberRecord } from '@shedline/mesh';
+import { PeerBook } from '@shedline/transport';
 import { FleetGroup, FLEET_GROUP } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { portsOf } from './peer-ports.js';
 import { seedAddresses } from './ports.js';
+import { isEmptied } from './retirement.js';
 import { ProcessCore } from './process-core.js';
 import { StoreFormation } from './store-formation.js';
 import type { RefreshAnswer, RefreshRequest } from './protocol.js';
@@ -36,6 +39,7 @@
 /** Longest wait for one process while looking for the leader. */
 const MAX_ATTEMPT_MS = 400;
 const FORGET_INTERVAL_MS = 5000;
+const STATUS_TIMEOUT_MS = 600;
 /** Log groups of the stores; a fleet of more stores spreads them over more voters. */
 const JOB_GROUP_COUNT = 4;
 
@@ -64,6 +68,8 @@
   private readonly machine: FleetGroup;
   private readonly caller: LeaderCaller;
   private readonly formation = new StoreFormation();
+  /** Connections to the stores, made when one of them retires. */
+  private readonly stores: PeerBook;
   private pushed: FleetPosition = { version: -1, leaveCount: 0 };
   private timer: NodeJS.Timeout | undefined;
   private isPushDue = false;
@@ -86,6 +92,7 @@
         },
       },
     });
+    this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
     this.register = new EndpointRegister(this.core.epoch);
     this.machine = new FleetGroup(() => {
       this.pushSoon();
@@ -114,6 +121,7 @@
     this.core.mesh.setState('draining');
     await this.groups?.stop();
     clearInterval(this.timer);
+    this.stores.close();
     await this.core.stop();
   }
 
@@ -159,13 +167,50 @@
     });
   }
 
-  /** Whether a store is up under this instance name, and how many stores are up. */
-  findStore(instance: string): { readonly isKnown: boolean; readonly storeCount: number } {
+  /** Has the store of an instance emptied, where enough others stay. */
+  async retireStore(instance: string): Promise<'accepted' | 'unknown' | 'tooFew'> {
     const stores = this.core.mesh.live('store');
-    return {
-      isKnown: stores.some((store) => store.instance === instance),
-      storeCount: stores.length,
-    };
+    const store = stores.find((candidate) => candidate.instance === instance);
+    if (store === undefined) return 'unknown';
+    if (this.machine.state.isRetiring(store.name)) return 'accepted';
+    const staying = stores.filter(({ name }) => !this.machine.state.isRetiring(name));
+    const wanted = 2 * this.settings.toleratedLosses + 1;
+    if (staying.length - 1 < wanted) return 'tooFew';
+    await this.propose({ type: 'retireStore', store: store.name });
+    this.logger.info('store retires', {
+      step: 'retire',
+      peer: store.name,
+      staying: staying.length,
+    });
+    return 'accepted';
+  }
+
+  /** How far the emptying of a store is; undefined where none was asked for. */
+  async retirement(instance: string): Promise<'running' | 'complete' | undefined> {
+    const members = this.core.mesh.live('store');
+    const store = members.find((candidate) => candidate.instance === instance);
+    if (store === undefined || !this.machine.state.isRetiring(store.name)) return undefined;
+    const groupCount = this.machine.state.storeCluster?.jobGroupCount ?? 0;
+    const statuses = await this.storeStatuses(members);
+    return isEmptied(store.name, groupCount, statuses) ? 'complete' : 'running';
+  }
+
+  /** State of the groups at each store that answers. */
+  private async storeStatuses(members: readonly MemberRecord[]): Promise<GroupStatus[]> {
+    const book = this.stores;
+    for (const { name, host, port } of members) book.add({ name, host, port });
+    book.keepOnly(new Set(members.map((member) => member.name)));
+    const asked = members.map(async ({ name }) => {
+      try {
+        return (await book.get(name)?.request('groupStatuses', {}, STATUS_TIMEOUT_MS)) as
+          GroupStatus[] | undefined;
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.logger.debug('store gives no status', { step: 'retire', peer: name, reason });
+        return undefined;
+      }
+    });
+    return (await Promise.all(asked)).flatMap((statuses) => statuses ?? []);
   }
 
   private propose(command: FleetCommand): Promise<FleetAnswer> {
--- /dev/null
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava';
+import { planMembership } from '@shedline/consensus';
+import type { GroupConfig } from '@shedline/consensus';
+import { describe, title } from '@shedline/test-utils';
+import { seedAddresses } from './ports.js';
+import { isEmptied } from './retirement.js';
+import { StoreFormation } from './store-formation.js';
+
+describe('store formation', () => {
+  test(title('waits until the set of stores has not changed for a while'), (t) => {
+    const formation = new StoreFormation();
+    t.is(formation.plan(['a'], 3, 0), undefined);
+    t.is(formation.plan(['a', 'c', 'b'], 3, 1000), undefined);
+    t.is(formation.plan(['b', 'a', 'c'], 3, 2400), undefined);
+    t.deepEqual(formation.plan(['a', 'b', 'c'], 3, 2500), ['a', 'b', 'c']);
+  });
+
+  test(
+    title('waits longer where there are fewer than wanted, and never forms without any'),
+    (t) => {
+      const formation = new StoreFormation();
+      t.is(formation.plan([], 3, 0), undefined);
+      t.is(formation.plan([], 3, 60_000), undefined);
+      t.is(formation.plan(['a'], 3, 60_000), undefined);
+      t.is(formation.plan(['a'], 3, 62_000), undefined);
+      t.deepEqual(formation.plan(['a'], 3, 66_000), ['a']);
+    },
+  );
+});
+
+describe('retirement', () => {
+  const status = (change: object = {}) => ({
+    group: 1,
+    role: 'leader',
+    leader: 'b',
+    term: 2,
+    commitIndex: 1,
+    appliedIndex: 1,
+    voters: ['b#1', 'c#1', 'd#1'],
+    learners: [],
+    isConfigCommitted: true,
+    ...change,
+  });
+
+  test(title('is complete once the leader of every group has settled without the store'), (t) => {
+    t.true(isEmptied('a', 1, [status()]));
+    t.false(isEmptied('a', 2, [status()]), 'group 2 has no leader');
+    t.false(isEmptied('a', 1, [status({ role: 'follower' })]));
+    t.false(isEmptied('a', 1, [status({ isConfigCommitted: false })]));
+    t.false(isEmptied('a', 1, [status({ learners: ['a#1'] })]));
+    const deposed = status({ term: 1 });
+    t.false(isEmptied('a', 1, [deposed, status({ term: 3, voters: ['a#1', 'b#1'] })]));
+  });
+
+  test(title('replaces a voter that is up before it drops it'), (t) => {
+    let config: GroupConfig = { voters: ['a#1', 'b#1', 'c#1'], learners: [] };
+    const seen: string[] = [];
+    for (let step = 0; step < 6; step += 1) {
+      const members = new Map(
+        [...config.voters, ...config.learners].map((memberId) => [
+          memberId,
+          { memberId, silentMs: 0, lagEntries: 0 },
+        ]),
+      );
+      const next = planMembership({
+        config,
+        selfId: 'b#1',
+        members,
+        liveIds: ['a#1', 'b#1', 'c#1', 'd#1'],
+        targetVoters: 3,
+        replaceAfterMs: 1000,
+        retiringIds: new Set(['a#1']),
+      });
+      if (next === undefined) break;
+      config = next;
+      seen.push(`${config.voters.join(' ')} + ${config.learners.join(' ')}`);
+    }
+    t.deepEqual(seen, ['a#1 b#1 c#1 + d#1', 'a#1 b#1 c#1 d#1 + ', 'b#1 c#1 d#1 + ']);
+  });
+});
+
+describe('seeds', () => {
+  test(title('stand for the peer ports of their control processes'), (t) => {
+    t.deepEqual(seedAddresses(['10.0.0.1:8166'], 7720), [
+      { name: '10.0.0.1:7721', host: '10.0.0.1', port: 7721 },
+    ]);
+  });
+});
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -7,8 +7,10 @@
 import type { ClusterDocument, GroupHost } from '@shedline/control';
 import { ShedlineError } from '@shedline/errors';
 import { KnownFleet } from '@shedline/fleet';
+import type { FleetDelta } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import { PeerBook } from '@shedline/transport';
+import type { PeerClient } from '@shedline/transport';
 import { ItemDispenser } from '@shedline/whole-jobs';
 import type { ItemRef, ItemRequest, WholeJobCommand } from '@shedline/whole-jobs';
 import { WholeJobGroup } from './machines.js';
@@ -29,6 +31,8 @@
 const FIRST_JOB_GROUP = 1;
 const JOIN_PAUSE_MS = 200;
 const REFRESH_TIMEOUT_MS = 800;
+/** Time between looks at the state of the fleet; news is pushed besides. */
+const REFRESH_INTERVAL_MS = 1000;
 /** Time that items stay with an entry that says nothing; entries renew every second. */
 const ITEM_LEASE_MS = 4000;
 /** Clocks differ a little, and a reader may come late. */
@@ -60,6 +64,8 @@
   private readonly dispensers = new Map<number, ItemDispenser>();
   /** Readers that wait for a result, by job. */
   private readonly readers = new Map<string, Set<() => void>>();
+  private readonly random: () => number;
+  private timer: NodeJS.Timeout | undefined;
   private stopped = false;
 
   constructor(options: StoreProcessOptions) {
@@ -74,7 +80,8 @@
       handlers: {
         onRequest: (method, payload) => this.onRequest(method, payload),
         onMessage: (method, payload) => {
-          this.groups.onMessage(method, payload);
+          if (method === 'fleetNews') this.fleet.take(payload as FleetDelta);
+          else this.groups.onMessage(method, payload);
         },
       },
       onMembersChange: () => {
@@ -82,7 +89,8 @@
       },
     });
     this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
-    this.groups = this.createGroups(options.random ?? Math.random);
+    this.random = options.random ?? Math.random;
+    this.groups = this.createGroups();
   }
 
   /** Joins the cluster of the stores. */
@@ -95,6 +103,9 @@
     });
     this.core.start();
     await this.groups.join();
+    this.timer = setInterval(() => {
+      this.refresh();
+    }, REFRESH_INTERVAL_MS);
     this.core.mesh.setState('ready');
     this.logger.info('store process ready', { step: 'start' });
   }
@@ -102,13 +113,14 @@
   /** Hands leaderships over, then ends. */
   async stop(): Promise<void> {
     this.stopped = true;
+    clearInterval(this.timer);
     this.core.mesh.setState('draining');
     await this.groups.stop();
     this.stores.close();
     await this.core.stop();
   }
 
-  private createGroups(random: () => number): GroupNode {
+  private createGroups(): GroupNode {
     const { dataDir, toleratedLosses } = this.settings;
     if (dataDir === undefined) {
       const message = 'dataDir: a store needs a folder for its state';
@@ -119,7 +131,7 @@
       settings: groupSettings(dataDir, toleratedLosses),
       peers: this.stores,
       logger: this.logger,
-      random,
+      random: this.random,
       nowMs: this.nowMs,
       role: {
         firstGroup: FIRST_JOB_GROUP,
@@ -137,6 +149,7 @@
             this.dispenserOf(host.group).sweep(machine.jobs, nowMs);
           }
         },
+        isRetiring: (store) => this.fleet.isRetiring(store),
         housekeep: (host) => {
           this.sweep(host);
         },
@@ -148,15 +161,7 @@
   private async findCluster(): Promise<ClusterDocument | undefined> {
     while (!this.stopped) {
       for (const control of this.core.mesh.controls.ready) {
-        try {
-          const request = { position: this.fleet.position, epoch: '', cursor: 0 };
-          const answer = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
-          this.fleet.take((answer as RefreshAnswer).delta);
-        } catch (error) {
-          const reason = error instanceof Error ? error.message : String(error);
-          const peer = control.peerName;
-          this.logger.debug('cluster not known', { step: 'bootstrap', peer, reason });
-        }
+        await this.refreshFrom(control);
         if (this.fleet.storeCluster !== undefined) return this.fleet.storeCluster;
       }
       await pause(JOIN_PAUSE_MS);
@@ -164,6 +169,26 @@
     return undefined;
   }
 
+  /** Asks a control process for the state of the fleet, which may lag. */
+  private async refreshFrom(control: PeerClient): Promise<void> {
+    const { peerName: peer } = control;
+    try {
+      const request = { position: this.fleet.position, epoch: '', cursor: 0 };
+      const answer = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
+      this.fleet.take((answer as RefreshAnswer).delta);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.logger.debug('state of the fleet not known', { step: 'refresh', peer, reason });
+    }
+  }
+
+  /** Catches up with what was pushed while no connection was up. */
+  private refresh(): void {
+    const ready = this.core.mesh.controls.ready;
+    const control = ready[Math.floor(this.random() * ready.length)];
+    if (control !== undefined) void this.refreshFrom(control);
+  }
+
   private connectStores(): void {
     const live = this.core.mesh.live('store');
     for (const { name, host, port } of live) this.stores.add({ name, host, port });
@@ -209,6 +234,7 @@
   private async onRequest(method: string, payload: unknown): Promise<unknown> {
     const answer = this.groups.answer(method, payload);
     if (answer !== undefined) return answer;
+    if (method === 'groupStatuses') return this.groups.groupStatuses();
     const { group, body } = payload as GroupRequest<unknown>;
     const host = this.groups.hosts.get(group);
     if (host === undefined || !(host.machine instanceof WholeJobGroup)) {
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -38,8 +38,15 @@
   readonly voterCount: number;
 }
 
+/** Has a store emptied, so that its instance can be taken away. */
+export interface RetireStore {
+  readonly type: 'retireStore';
+  /** Name of the store process. */
+  readonly store: string;
+}
+
 /** Any command of the fleet group. */
-export type FleetCommand = PutConfiguration | RecordLeave | FormStores;
+export type FleetCommand = PutConfiguration | RecordLeave | FormStores | RetireStore;
 
 /** Answer to a command; `outcome` says whether the state changed. */
 export interface FleetAnswer {
@@ -64,6 +71,8 @@
   /** Endpoints that leave, those that the reader lacks. */
   readonly leaving: readonly string[];
   readonly stores?: StoreCluster;
+  /** Stores that are to be emptied; the whole list. */
+  readonly retiringStores: readonly string[];
 }
 
 /** Plain form of the state. */
@@ -73,6 +82,7 @@
   readonly leaving: readonly string[];
   readonly forgottenLeaves: number;
   readonly stores: StoreCluster | undefined;
+  readonly retiringStores: readonly string[];
 }
 
 /** The replicated state of a fleet. */
@@ -83,6 +93,7 @@
   private leavingIds = new Set<string>();
   private forgottenLeaves = 0;
   private stores: StoreCluster | undefined;
+  private retiring = new Set<string>();
 
   /** Where the state stands. */
   get position(): FleetPosition {
@@ -97,6 +108,11 @@
     return this.stores;
   }
 
+  /** Whether a store is to be emptied. */
+  isRetiring(store: string): boolean {
+    return this.retiring.has(store);
+  }
+
   /** The text of the configuration in force; empty before the first one. */
   get configurationDocument(): string {
     return this.document;
@@ -113,6 +129,7 @@
       .with({ type: 'putConfiguration' }, (c) => this.putConfiguration(c))
       .with({ type: 'recordLeave' }, (c) => this.recordLeave(c.endpointId))
       .with({ type: 'formStores' }, (c) => this.formStores(c.cluster))
+      .with({ type: 'retireStore' }, (c) => this.retireStore(c.store))
       .exhaustive();
     const outcome = changed ? 'stored' : 'held';
     return { ok: true, outcome, version: this.position.version };
@@ -126,6 +143,7 @@
     return {
       position,
       leaving: this.leaving.slice(from),
+      retiringStores: [...this.retiring],
       ...(isOlder ? { configuration } : {}),
       ...(stores === undefined ? {} : { stores }),
     };
@@ -134,7 +152,16 @@
   /** The state in plain form, for a snapshot. */
   toData(): unknown {
     const { configuration, document, leaving, forgottenLeaves, stores } = this;
-    return { configuration, document, leaving, forgottenLeaves, stores } satisfies FleetData;
+    const retiringStores = [...this.retiring];
+    const data: FleetData = {
+      configuration,
+      document,
+      leaving,
+      forgottenLeaves,
+      stores,
+      retiringStores,
+    };
+    return data;
   }
 
   /** Takes the place of what is here. */
@@ -146,6 +173,7 @@
     this.leavingIds = new Set(this.leaving);
     this.forgottenLeaves = data.forgottenLeaves;
     this.stores = data.stores ?? undefined;
+    this.retiring = new Set(data.retiringStores);
   }
 
   private putConfiguration({ configuration, document }: PutConfiguration): boolean {
@@ -172,4 +200,10 @@
     this.stores = cluster;
     return true;
   }
+
+  private retireStore(store: string): boolean {
+    if (this.retiring.has(store)) return false;
+    this.retiring.add(store);
+    return true;
+  }
 }
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -157,6 +157,7 @@
     for (const next of [put(3), { type: 'recordLeave', endpointId: 'e' } as const])
       state.apply(next);
     state.apply({ type: 'formStores', cluster });
+    state.apply({ type: 'retireStore', store: 'store' });
     state.apply({ type: 'formStores', cluster: { ...cluster, clusterId: 'later' } });
     const copy = new FleetState();
     copy.restore(state.toData());
@@ -164,6 +165,7 @@
     t.is(copy.configurationDocument, 'document 3');
     t.is(copy.storeCluster?.clusterId, 'c');
     t.true(copy.isLeaving('e'));
+    t.true(copy.isRetiring('store'));
   });
 });
 
--- a/packages/fleet/src/known-fleet.ts
+++ b/packages/fleet/src/known-fleet.ts
@@ -11,6 +11,7 @@
   private leaveCount = 0;
   private readonly leavingIds = new Set<string>();
   private stores: StoreCluster | undefined;
+  private readonly retiring = new Set<string>();
 
   /** Routes in force here; undefined before the first configuration. */
   get routes(): RouteTable | undefined {
@@ -32,11 +33,17 @@
     return this.leavingIds.has(endpointId);
   }
 
+  /** Whether a store is to be emptied. */
+  isRetiring(store: string): boolean {
+    return this.retiring.has(store);
+  }
+
   /** Takes news; gives the endpoints that newly leave and whether the routes changed. */
   take(delta: FleetDelta): { readonly newlyLeaving: string[]; readonly routesChanged: boolean } {
     const newlyLeaving = delta.leaving.filter((id) => !this.leavingIds.has(id));
     for (const id of newlyLeaving) this.leavingIds.add(id);
     this.leaveCount = Math.max(this.leaveCount, delta.position.leaveCount);
+    for (const store of delta.retiringStores) this.retiring.add(store);
     if (delta.stores !== undefined) this.stores = delta.stores;
     const { configuration } = delta;
     const routesChanged =
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -143,6 +143,7 @@
   fleet.take({
     position: { version: 1, leaveCount: 0 },
     leaving: [],
+    retiringStores: [],
     configuration: {
       version: 1,
       routes: [ROUTE],
