--- a/packages/fleet-control/src/retirement.ts
+++ b/packages/fleet-control/src/retirement.ts
@@ -19,8 +19,7 @@
     const leaders = statuses.filter((status) => status.group === group && status.role === 'leader');
     const newest = leaders.sort((a, b) => b.term - a.term)[0];
     // A change that is not committed yet may still be undone.
-    const isSettled = newest !== undefined && newest.isConfigCommitted;
-    if (!isSettled || isMember(newest)) return false;
+    if (newest?.isConfigCommitted !== true || isMember(newest)) return false;
   }
   return true;
 }
