Keep what an item made so far in the log of its group

Change: items are handed back by the same command that stores results; a job keeps the furthest progress of an item in its file; the dispenser only knows holders.

--- a/packages/fleet-control/src/protocol.ts
+++ b/packages/fleet-control/src/protocol.ts
@@ -3,12 +3,10 @@
  */
 import type { FleetDelta, FleetPosition, RegisterDelta } from '@shedline/fleet';
 import type {
-  FailedItem,
-  FinishedItem,
+  CommitRuns,
   ItemProgress,
   ItemRef,
   ResultsPage,
-  ReturnedItem,
   SubmitJob,
   SubmittedItem,
 } from '@shedline/whole-jobs';
@@ -56,17 +54,8 @@
   readonly refs: readonly ItemRef[];
 }
 
-/** What a holder hands back. */
-export interface ReleaseRequest {
-  readonly holder: string;
-  readonly items: readonly ReturnedItem[];
-}
-
-/** Results and failed runs of a holder. */
-export interface RunReport {
-  readonly finished: readonly FinishedItem[];
-  readonly failed: readonly FailedItem[];
-}
+/** Results, failed runs and returned items of a holder. */
+export type RunReport = Omit<CommitRuns, 'type' | 'atMs'>;
 
 /** Asks for results. */
 export interface ResultsRequest {
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -22,7 +22,6 @@
   GrantAnswer,
   JobEndedMessage,
   RefreshAnswer,
-  ReleaseRequest,
   RenewRequest,
   ResultsAnswer,
   ResultsRequest,
@@ -216,6 +215,8 @@
   /** Wakes those that wait for what a command brought. */
   private applied(group: number, command: WholeJobCommand): void {
     if (command.type === 'commitRuns') {
+      const { holder, failed, returned } = command;
+      this.dispenserOf(group).release(holder, [...failed, ...returned]);
       const changed = [...command.finished, ...command.failed];
       for (const jobId of new Set(changed.map((run) => run.jobId))) this.wakeReaders(jobId);
     }
@@ -254,8 +255,6 @@
         return this.grant(host, machine, body as ItemRequest);
       case 'renewItems':
         return this.renew(host, machine, body as RenewRequest);
-      case 'releaseItems':
-        return this.release(host, body as ReleaseRequest);
       default:
         throw this.unavailable(method, `${this.core.name} answers no ${method}`);
     }
@@ -336,12 +335,6 @@
     return dispenser.renew(machine.jobs, request.holder, request.refs, this.nowMs());
   }
 
-  private release(host: GroupHost, request: ReleaseRequest): true {
-    this.requireLeading(host, 'releaseItems');
-    this.dispenserOf(host.group).release(request.holder, request.items);
-    return true;
-  }
-
   private requireLeading(host: GroupHost, step: string): void {
     if (host.isLeading) return;
     const leader = host.consensus.leaderId.split('#')[0] ?? '';
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -81,7 +81,7 @@
   }
 
   private answer(method: string, body: unknown): unknown {
-    const request = body as ItemRequest & { refs: ItemRef[]; items: ReturnedItem[] };
+    const request = body as ItemRequest & { refs: ItemRef[] };
     if (method === 'grantItems') {
       const time = { nowMs: this.nowMs(), wallMs: this.nowMs() };
       const granted = this.dispenser.grant(this.jobs, request, time);
@@ -97,14 +97,12 @@
     if (method === 'renewItems') {
       return this.dispenser.renew(this.jobs, request.holder, request.refs, this.nowMs());
     }
-    if (method === 'releaseItems') {
-      this.returned.push(...request.items);
-      this.dispenser.release(request.holder, request.items);
-      return true;
-    }
     this.logIndex += 1;
     const command = { ...(body as CommitRuns), type: 'commitRuns' as const, atMs: this.nowMs() };
-    return this.jobs.apply(command, this.logIndex);
+    const answer = this.jobs.apply(command, this.logIndex);
+    this.dispenser.release(command.holder, [...command.failed, ...command.returned]);
+    this.returned.push(...command.returned);
+    return answer;
   }
 }
 
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -81,7 +81,7 @@
   constructor(options: ItemRunnerOptions) {
     this.options = options;
     this.ownership = new BatchOwnership({ self: options.self, takeoverWaitMs: TAKEOVER_WAIT_MS });
-    this.reporter = new RunReporter({ stores: options.stores, logger: options.logger });
+    this.reporter = new RunReporter(options);
   }
 
   /** Items that run here. */
@@ -108,9 +108,7 @@
     const runs = [...this.runs.values()];
     this.runs.clear();
     for (const run of runs) run.stop();
-    await Promise.all(
-      [...byGroup(runs)].map(([group, own]) => this.release(group, own.map(returned))),
-    );
+    for (const run of runs) this.reporter.returned(run.group, [returned(run)]);
     await this.reporter.flush();
   }
 
@@ -239,14 +237,14 @@
     for (const [endpointId, count] of free) {
       for (const granted of left.splice(0, count)) this.startRun(group, granted, endpointId, route);
     }
-    if (left.length > 0) void this.release(group, left.map(notStarted));
+    if (left.length > 0) this.reporter.returned(group, left.map(notStarted));
   }
 
   private startRun(group: number, granted: GrantedItem, endpointId: string, route: Route): void {
     const { pool, sender, protocol, nowMs } = this.options;
     const address = pool.addressOf(endpointId);
     if (address === undefined) {
-      void this.release(group, [notStarted(granted)]);
+      this.reporter.returned(group, [notStarted(granted)]);
       return;
     }
     this.runsBegun += 1;
@@ -275,7 +273,7 @@
     } else if (result.kind === 'failure') {
       this.reportFailure(run);
     } else {
-      void this.release(run.group, [returned(run)]);
+      this.reporter.returned(run.group, [returned(run)]);
     }
     this.tick();
   }
@@ -288,12 +286,10 @@
     state.runMs += RUN_SMOOTHING * (tookMs - state.runMs);
   }
 
-  /** The stores count failed runs; the item may be handed out again once they have. */
+  /** The stores count failed runs, and hand the item out again unless there were too many. */
   private reportFailure(run: ItemRun): void {
     const runId = `${this.options.holder}/${keyOf(run.ref)}/${run.runNumber}`;
-    this.reporter.failed(run.group, { ...run.ref, runId }, () => {
-      void this.release(run.group, [returned(run)]);
-    });
+    this.reporter.failed(run.group, { ...run.ref, runId });
   }
 
   private drop(run: ItemRun, reason: string): void {
@@ -324,18 +320,6 @@
     }
   }
 
-  private async release(group: number, items: readonly ReturnedItem[]): Promise<void> {
-    const { stores, holder, logger } = this.options;
-    try {
-      const body = { holder, items };
-      await stores.call('releaseItems', group, { group, body }, ASK_TIMEOUT_MS);
-    } catch (error) {
-      // Their leases run out by themselves.
-      const reason = error instanceof Error ? error.message : String(error);
-      logger.info('items not handed back', { step: 'release', group, reason });
-    }
-  }
-
   /** One line a second while there is batch work, so that idle slots can be explained. */
   private logState(): void {
     if (this.runs.size === 0) return;
--- a/packages/gateway/src/run-reporter.ts
+++ b/packages/gateway/src/run-reporter.ts
@@ -1,10 +1,10 @@
 /**
- * Reports results and failed runs to the stores until they have them.
+ * Reports results, failed runs and items that are handed back to the stores until they have them.
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { GroupCaller } from '@shedline/control-client';
 import type { Logger } from '@shedline/logger';
-import type { FailedItem, FinishedItem } from '@shedline/whole-jobs';
+import type { FailedItem, FinishedItem, ReturnedItem } from '@shedline/whole-jobs';
 
 /** Results of this long go out in one command. */
 const GATHER_MS = 15;
@@ -13,6 +13,8 @@
 
 /** Options of {@link RunReporter}. */
 export interface RunReporterOptions {
+  /** Name under which this entry holds items. */
+  readonly holder: string;
   readonly stores: GroupCaller;
   readonly logger: Logger;
 }
@@ -20,7 +22,7 @@
 interface Outbox {
   finished: FinishedItem[];
   failed: FailedItem[];
-  onStored: (() => void)[];
+  returned: ReturnedItem[];
 }
 
 /** What the stores do not have yet. */
@@ -39,11 +41,15 @@
     this.send(group);
   }
 
-  /** Reports a failed run; `onStored` is called once the stores have counted it. */
-  failed(group: number, run: FailedItem, onStored: () => void): void {
-    const outbox = this.outboxOf(group);
-    outbox.failed.push(run);
-    outbox.onStored.push(onStored);
+  /** Reports a failed run, which hands the item back too. */
+  failed(group: number, run: FailedItem): void {
+    this.outboxOf(group).failed.push(run);
+    this.send(group);
+  }
+
+  /** Hands items back. */
+  returned(group: number, items: readonly ReturnedItem[]): void {
+    this.outboxOf(group).returned.push(...items);
     this.send(group);
   }
 
@@ -55,7 +61,7 @@
   private outboxOf(group: number): Outbox {
     const known = this.outboxes.get(group);
     if (known !== undefined) return known;
-    const fresh: Outbox = { finished: [], failed: [], onStored: [] };
+    const fresh: Outbox = { finished: [], failed: [], returned: [] };
     this.outboxes.set(group, fresh);
     return fresh;
   }
@@ -72,9 +78,7 @@
       const outbox = this.outboxes.get(group);
       if (outbox === undefined) return;
       this.outboxes.delete(group);
-      const { finished, failed, onStored } = outbox;
-      await this.sendUntilStored(group, { finished, failed });
-      for (const listener of onStored) listener();
+      await this.sendUntilStored(group, { holder: this.options.holder, ...outbox });
     }
   }
 
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -57,11 +57,28 @@
   readonly runId: string;
 }
 
-/** Stores results and counts failed runs. */
+/** How far an item got before its run was stopped. */
+export interface ItemProgress {
+  /** Data of its events so far. */
+  readonly pieces: readonly string[];
+  readonly lastEventId: string;
+}
+
+/** An item that its holder hands back. */
+export interface ReturnedItem {
+  readonly jobId: string;
+  readonly index: number;
+  readonly progress?: ItemProgress;
+}
+
+/** Stores results, counts failed runs and keeps what items that are handed back have so far. */
 export interface CommitRuns extends Timed {
   readonly type: 'commitRuns';
+  /** Who ran the items. */
+  readonly holder: string;
   readonly finished: readonly FinishedItem[];
   readonly failed: readonly FailedItem[];
+  readonly returned: readonly ReturnedItem[];
 }
 
 /** Ends a job: what is not listed yet will not run any more. */
--- a/packages/whole-jobs/src/item-dispenser.test.ts
+++ b/packages/whole-jobs/src/item-dispenser.test.ts
@@ -64,10 +64,13 @@
     const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
     dispenser.grant(jobs, request(2), { nowMs: SETTLED_MS, wallMs: 0 });
     const progress = { pieces: Array.from({ length: 90 }, () => 'x'), lastEventId: '90' };
-    dispenser.release('a', [
+    const returned = [
       { jobId: 'j', index: 0 },
       { jobId: 'j', index: 1, progress },
-    ]);
+    ];
+    const runs = { holder: 'a', finished: [], failed: [], returned };
+    jobs.apply({ type: 'commitRuns', atMs: 0, ...runs }, 2);
+    dispenser.release('a', returned);
     // Two seconds are left: too few for a whole item, enough for the rest of the second one.
     const time = { nowMs: SETTLED_MS, wallMs: DUE_MS - 2000 };
     const [first] = dispenser.grant(jobs, request(1, 'b'), time);
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -1,8 +1,8 @@
 /**
- * Hands out the items of a group while its member leads. Who holds what, and how far an item got
- * that was handed back, is kept in memory only: an item may run more than once, so a new leader
- * starts from what the holders tell it.
+ * Hands out the items of a group while its member leads. Who holds what is kept in memory only:
+ * an item may run more than once, so a new leader starts from what the holders tell it.
  */
+import type { ItemProgress } from './commands.js';
 import type { JobRecord } from './job-record.js';
 import type { WholeJobs } from './whole-jobs.js';
 
@@ -15,18 +15,6 @@
   readonly index: number;
 }
 
-/** How far an item got before its run was stopped. */
-export interface ItemProgress {
-  /** Data of its events so far. */
-  readonly pieces: readonly string[];
-  readonly lastEventId: string;
-}
-
-/** An item that is handed back. */
-export interface ReturnedItem extends ItemRef {
-  readonly progress?: ItemProgress;
-}
-
 /** Asks for items. */
 export interface ItemRequest {
   readonly holder: string;
@@ -63,7 +51,9 @@
 }
 
 /** An item that waits, with what decides its turn. */
-interface WaitingItem extends DispensedItem {
+interface WaitingItem {
+  readonly job: JobRecord;
+  readonly index: number;
   /** Time that it probably still takes. */
   readonly remainingMs: number;
   /** Whether it will be late even if it starts now. */
@@ -77,7 +67,6 @@
 export class ItemDispenser {
   private readonly leaseMs: number;
   private readonly holdings = new Map<string, Holding>();
-  private readonly progress = new Map<string, ItemProgress>();
   private grantsFromMs = 0;
 
   constructor(options: ItemDispenserOptions) {
@@ -87,7 +76,6 @@
   /** The member began to lead. */
   becameLeader(nowMs: number): void {
     this.holdings.clear();
-    this.progress.clear();
     this.grantsFromMs = nowMs + SETTLE_MS;
   }
 
@@ -99,11 +87,10 @@
   grant(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): DispensedItem[] {
     if (time.nowMs < this.grantsFromMs) return [];
     const waiting = this.waitingItems(jobs, request, time).sort(byTurn);
-    const granted = waiting.slice(0, request.maxItems);
-    for (const { job, index } of granted) {
+    return waiting.slice(0, request.maxItems).map(({ job, index }) => {
       this.hold({ jobId: job.identity.jobId, index }, request.holder, time.nowMs);
-    }
-    return granted;
+      return { job, index, progress: job.progressOf(index) };
+    });
   }
 
   /** Prolongs what a holder has; gives the items that it must not run any more. */
@@ -119,13 +106,11 @@
     return lost;
   }
 
-  /** Takes back items that their holder will not finish, with how far they got. */
-  release(holder: string, items: readonly ReturnedItem[]): void {
+  /** Takes back items that their holder will not finish. */
+  release(holder: string, items: readonly ItemRef[]): void {
     for (const item of items) {
       const key = keyOf(item);
-      if (this.holdings.get(key)?.holder !== holder) continue;
-      this.holdings.delete(key);
-      if (item.progress !== undefined) this.progress.set(key, item.progress);
+      if (this.holdings.get(key)?.holder === holder) this.holdings.delete(key);
     }
   }
 
@@ -146,9 +131,6 @@
     for (const [key, holding] of this.holdings) {
       if (!isOpenItem(jobs, key) || holding.untilMs <= nowMs) this.holdings.delete(key);
     }
-    for (const key of this.progress.keys()) {
-      if (!isOpenItem(jobs, key)) this.progress.delete(key);
-    }
   }
 
   private waitingItems(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): WaitingItem[] {
@@ -158,11 +140,10 @@
       for (const index of job.openIndexes()) {
         const ref = { jobId: job.identity.jobId, index };
         if (this.isHeld(ref, time.nowMs)) continue;
-        const progress = this.progress.get(keyOf(ref));
-        const doneShare = (progress?.pieces.length ?? 0) / Math.max(1, request.runEvents);
+        const doneShare = job.eventCount(index) / Math.max(1, request.runEvents);
         const remainingMs = request.runMs * Math.max(MIN_REMAINING_SHARE, 1 - doneShare);
         const isLate = job.dueAtMs - time.wallMs < remainingMs;
-        waiting.push({ job, index, progress, remainingMs, isLate });
+        waiting.push({ job, index, remainingMs, isLate });
       }
     }
     return waiting;
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -6,7 +6,7 @@
 import { pack, unpack } from 'msgpackr';
 import { RECORD_ALIGNMENT_BYTES } from '@shedline/storage';
 import type { ItemFiles } from '@shedline/storage';
-import type { ItemEnd, SubmitJob, SubmittedItem } from './commands.js';
+import type { ItemEnd, ItemProgress, SubmitJob, SubmittedItem } from './commands.js';
 
 /** What stays the same over the life of a job. */
 export interface JobIdentity {
@@ -42,6 +42,8 @@
   /** Index of the item and unit of its record, in the order of the positions. */
   readonly listed: readonly (readonly [number, number])[];
   readonly failedRuns: readonly (readonly [number, readonly string[]])[];
+  /** Index of the item, unit of the record, and number of events, of what items have so far. */
+  readonly progress: readonly (readonly [number, number, number])[];
 }
 
 /** A job with its items. */
@@ -55,6 +57,7 @@
   private isListed = new Uint8Array(0);
   private listed: [number, number][] = [];
   private readonly failedRuns = new Map<number, string[]>();
+  private readonly progress = new Map<number, { unit: number; eventCount: number }>();
   private bodyBytes = 0;
   private resultBytes = 0;
   private waiting = 0;
@@ -141,6 +144,28 @@
     return unpack(this.files.readRecord(this.resultFile, offset)) as JobResult;
   }
 
+  /** Keeps how far an item got, if that is further than what is kept. */
+  saveProgress(index: number, progress: ItemProgress): void {
+    const eventCount = progress.pieces.length;
+    if (!this.mayRun(index) || eventCount <= this.eventCount(index)) return;
+    const unit = this.resultBytes / RECORD_ALIGNMENT_BYTES;
+    this.resultBytes = this.files.writeRecord(this.resultFile, this.resultBytes, pack(progress));
+    this.progress.set(index, { unit, eventCount });
+  }
+
+  /** Events that an item has so far. */
+  eventCount(index: number): number {
+    return this.progress.get(index)?.eventCount ?? 0;
+  }
+
+  /** How far an item got; undefined where it has to begin at its start. */
+  progressOf(index: number): ItemProgress | undefined {
+    const kept = this.progress.get(index);
+    if (kept === undefined) return undefined;
+    const offset = kept.unit * RECORD_ALIGNMENT_BYTES;
+    return unpack(this.files.readRecord(this.resultFile, offset)) as ItemProgress;
+  }
+
   /** Lists a result if the item has none yet. */
   finish(index: number, state: ItemEnd, text: string): boolean {
     if (!this.mayRun(index)) return false;
@@ -150,6 +175,7 @@
     this.isListed[index] = 1;
     this.waiting -= this.itemTokens[index] ?? 0;
     this.failedRuns.delete(index);
+    this.progress.delete(index);
     return true;
   }
 
@@ -167,6 +193,7 @@
   end(): void {
     this.ended = true;
     this.failedRuns.clear();
+    this.progress.clear();
   }
 
   /** Files and how much of each is valid. */
@@ -195,6 +222,7 @@
       resultBytes: this.resultBytes,
       listed: this.listed,
       failedRuns: [...this.failedRuns],
+      progress: [...this.progress].map(([index, kept]) => [index, kept.unit, kept.eventCount]),
     };
   }
 
@@ -211,6 +239,9 @@
     job.listed = data.listed.map(([index, unit]) => [index, unit]);
     for (const [index] of job.listed) job.isListed[index] = 1;
     for (const [index, runs] of data.failedRuns) job.failedRuns.set(index, [...runs]);
+    for (const [index, unit, eventCount] of data.progress) {
+      job.progress.set(index, { unit, eventCount });
+    }
     for (const index of job.unlistedIndexes()) job.waiting += job.itemTokens[index] ?? 0;
     return job;
   }
--- a/packages/whole-jobs/src/whole-jobs.test.ts
+++ b/packages/whole-jobs/src/whole-jobs.test.ts
@@ -43,18 +43,36 @@
     .map(([ref, state, text]): WholeJobCommand => ({
       type: 'commitRuns',
       atMs: 0,
+      holder: 'h',
+      returned: [],
       finished: [{ ...ref, state, text }],
       failed: [],
     })),
   fc.tuple(item, fc.nat(3)).map(([ref, run]): WholeJobCommand => ({
     type: 'commitRuns',
     atMs: 0,
+    holder: 'h',
+    returned: [],
     finished: [],
     failed: [{ ...ref, runId: `run ${run}` }],
   })),
+  fc.tuple(item, fc.array(fc.string(), { maxLength: 4 })).map(([ref, pieces]): WholeJobCommand => ({
+    type: 'commitRuns',
+    atMs: 0,
+    holder: 'h',
+    finished: [],
+    failed: [],
+    returned: [{ ...ref, progress: { pieces, lastEventId: String(pieces.length) } }],
+  })),
   jobId.map((id): WholeJobCommand => ({ type: 'endJob', atMs: 0, jobId: id })),
 );
 
+function progressOf(jobs: WholeJobs): unknown {
+  return ['a', 'b', 'c', 'd'].map((id) =>
+    Array.from({ length: ITEMS }, (_, index) => jobs.get(id)?.progressOf(index)),
+  );
+}
+
 function listOf(jobs: WholeJobs, id: string): string[] {
   const page = jobs.results(id, 0, Infinity);
   return (page?.results ?? []).map(({ itemId, state, text }) => `${itemId} ${state} ${text}`);
@@ -100,6 +118,8 @@
             const answers = [first.apply(next, logIndex), second.apply(next, logIndex)];
             if (JSON.stringify(answers[0]) !== JSON.stringify(answers[1])) return false;
           }
+          const kept = [first, second].map((jobs) => JSON.stringify(progressOf(jobs)));
+          if (kept[0] !== kept[1]) return false;
           return ['a', 'b', 'c', 'd'].every(
             (id) => listOf(first, id).join('\n') === listOf(second, id).join('\n'),
           );
@@ -130,7 +150,8 @@
       state: 'complete' as const,
       text: 'x'.repeat(100),
     }));
-    jobs.apply({ type: 'commitRuns', atMs: 0, finished, failed: [] }, 2);
+    const runs = { holder: 'h', finished, failed: [], returned: [] };
+    jobs.apply({ type: 'commitRuns', atMs: 0, ...runs }, 2);
     const page = jobs.results('a', 0, 1);
     t.is(page?.results.length, 1);
     t.is(page?.nextPosition, 1);
@@ -139,6 +160,24 @@
     t.is(jobs.results('b', 0, 1000), undefined);
   });
 
+  test(title('keeps the furthest progress of an item until it is over'), (t) => {
+    const jobs = new WholeJobs(new MemoryItemFiles());
+    jobs.apply(submit('a', 0), 1);
+    const give = (pieces: string[], logIndex: number): void => {
+      const progress = { pieces, lastEventId: String(pieces.length) };
+      const returned = [{ jobId: 'a', index: 0, progress }];
+      const runs = { holder: 'h', finished: [], failed: [], returned };
+      jobs.apply({ type: 'commitRuns', atMs: 0, ...runs }, logIndex);
+    };
+    give(['x', 'y'], 2);
+    give(['z'], 3);
+    t.deepEqual(jobs.get('a')?.progressOf(0), { pieces: ['x', 'y'], lastEventId: '2' });
+    const finished = [{ jobId: 'a', index: 0, state: 'complete' as const, text: 'x' }];
+    const runs = { holder: 'h', finished, failed: [], returned: [] };
+    jobs.apply({ type: 'commitRuns', atMs: 0, ...runs }, 4);
+    t.is(jobs.get('a')?.progressOf(0), undefined);
+  });
+
   test(title('gives items up only after their time, and forgets only what is over'), (t) => {
     const jobs = new WholeJobs(new MemoryItemFiles());
     jobs.apply(submit('a', 0), 1);
--- a/packages/whole-jobs/src/whole-jobs.ts
+++ b/packages/whole-jobs/src/whole-jobs.ts
@@ -136,6 +136,9 @@
         return true;
       });
     }
+    for (const { jobId, index, progress } of command.returned) {
+      if (progress !== undefined) this.jobs.get(jobId)?.saveProgress(index, progress);
+    }
     return { stored, dropped: command.finished.length - stored };
   }
 
