Replace a lost voter whoever leads, and survive names that come back after a power loss

(2) Found by reading: removed log segments were not synced away, so a power loss could bring back some of them, and the start then refused the log. Figures: tests for statuses and for segments that come back (the latter failed before with 'frame is missing').

--- a/packages/control/src/control.test.ts
+++ b/packages/control/src/control.test.ts
@@ -2,6 +2,7 @@
 import { describe, title } from '@shedline/test-utils';
 import { newCluster, planBootstrap } from './bootstrap.js';
 import type { HelloAnswer } from './bootstrap.js';
+import { memberStatuses } from './member-duties.js';
 
 const bootstrapMembers = ['a', 'b', 'c'];
 
@@ -37,3 +38,27 @@
     });
   });
 });
+
+describe('member statuses', () => {
+  test(title('a member that is gone stays silent for a leader that has just been elected'), (t) => {
+    const progress = new Map([
+      ['gone#1', { matchIndex: 5, silentMs: 10 }],
+      ['stuck#1', { matchIndex: 5, silentMs: 9000 }],
+      ['sound#1', { matchIndex: 8, silentMs: 20 }],
+    ]);
+    const unheard = new Map([
+      ['gone#1', 6000],
+      ['stuck#1', 100],
+      ['sound#1', 100],
+    ]);
+    const statuses = memberStatuses(progress, 8, (memberId) => unheard.get(memberId) ?? 0);
+    t.deepEqual(
+      [...statuses.values()].map(({ silentMs, lagEntries }) => [silentMs, lagEntries]),
+      [
+        [6000, 3],
+        [9000, 3],
+        [100, 0],
+      ],
+    );
+  });
+});
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -3,7 +3,7 @@
  * members, snapshots and repair. What the groups hold is up to its {@link GroupNodeRole}.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import { mkdirSync } from 'node:fs';
+import { closeSync, existsSync, fsyncSync, mkdirSync, openSync } from 'node:fs';
 import { join } from 'node:path';
 import { Consensus, instanceOf } from '@shedline/consensus';
 import type { GroupStatus } from '@shedline/control-client';
@@ -26,7 +26,7 @@
 const TICK_MS = 50;
 const PRESENCE_INTERVAL_MS = 500;
 const PRESENCE_LEASE_MS = 3000;
-const DUTY_INTERVAL_MS = 500;
+const DUTY_INTERVAL_MS = 250;
 const HOUSEKEEP_INTERVAL_MS = 10_000;
 const SPREAD_INTERVAL_MS = 5000;
 const TRANSFER_WAIT_MS = 1500;
@@ -102,6 +102,7 @@
   private ownMemberId = '';
   private document: ClusterDocument | undefined;
   private timers: NodeJS.Timeout[] = [];
+  private joinedAtMs = 0;
   private stopped = false;
 
   constructor(options: GroupNodeOptions) {
@@ -178,6 +179,7 @@
       await saveCluster(storage, found);
       this.document = found;
     }
+    this.joinedAtMs = this.options.nowMs();
     this.openGroups(this.document);
     this.startTimers();
     this.options.logger.info('groups open', { memberId: this.ownMemberId, step: 'start' });
@@ -232,7 +234,10 @@
     const known = this.itemFiles.get(group);
     if (known !== undefined) return known;
     const folder = join(this.options.settings.dataDir, `items-${group}`);
-    mkdirSync(folder, { recursive: true });
+    if (!existsSync(folder)) {
+      mkdirSync(folder, { recursive: true });
+      syncFolder(this.options.settings.dataDir);
+    }
     const files = new DiskItemFiles(folder);
     this.itemFiles.set(group, files);
     return files;
@@ -416,7 +421,16 @@
     const known = new Set([...voters, ...learners, ...liveIds]);
     const retiring = [...known].filter((id) => role.isRetiring?.(instanceOf(id)) === true);
     const retiringIds = new Set(retiring);
-    return { host, memberId: this.ownMemberId, liveIds, settings, logger, retiringIds };
+    const unheardMs = (memberId: string): number => this.unheardMs(memberId);
+    const { ownMemberId: memberId } = this;
+    return { host, memberId, liveIds, settings, logger, retiringIds, unheardMs };
+  }
+
+  /** Time since a member was last heard; since the start of the groups where it never was. */
+  private unheardMs(memberId: string): number {
+    const heard = this.presence.get(instanceOf(memberId));
+    const sinceMs = heard?.memberId === memberId ? heard.heardAtMs : this.joinedAtMs;
+    return this.options.nowMs() - sinceMs;
   }
 
   private relieveWal(): void {
@@ -474,3 +488,13 @@
     }
   }
 }
+
+/** Makes the names in a folder last over a power loss. */
+function syncFolder(folder: string): void {
+  const descriptor = openSync(folder, 'r');
+  try {
+    fsyncSync(descriptor);
+  } finally {
+    closeSync(descriptor);
+  }
+}
--- a/packages/fleet-control/src/group-settings.ts
+++ b/packages/fleet-control/src/group-settings.ts
@@ -9,8 +9,11 @@
 const FIRST_ELECTION_TIMEOUT_MS = 200;
 /** A follower learns of a commit within one of these. */
 const HEARTBEAT_INTERVAL_MS = 100;
-/** A voter that is silent for longer than a restart takes is replaced where a spare is up. */
-const REPLACE_AFTER_MS = 4000;
+/**
+ * A voter that is silent for longer than a process takes to restart is replaced where a spare is
+ * up. A spare has to count five seconds after it started, so this must leave time to copy.
+ */
+const REPLACE_AFTER_MS = 2500;
 /** Small disks bound the log: at most six segments are kept. Bytes. */
 const MAX_SEGMENT_BYTES = 2 * 1024 * 1024;
 /** Log bytes after which a group is snapshotted; about two segments. */
--- a/packages/storage/src/file-system.ts
+++ b/packages/storage/src/file-system.ts
@@ -22,6 +22,7 @@
   /** Writes aside, syncs, renames and syncs the folder. */
   replace(name: string, bytes: Uint8Array): Promise<void>;
   truncate(name: string, sizeBytes: number): Promise<void>;
+  /** Removes a file and syncs the folder; of several removed ones none comes back. */
   remove(name: string): Promise<void>;
 }
 
@@ -89,6 +90,7 @@
 
   async remove(name: string): Promise<void> {
     await rm(join(this.folder, name), { force: true });
+    await this.syncFolder();
   }
 
   private async syncFolder(): Promise<void> {
--- a/packages/storage/src/item-files.ts
+++ b/packages/storage/src/item-files.ts
@@ -97,9 +97,11 @@
   }
 
   async sync(): Promise<void> {
-    const files = [...this.dirty];
-    this.dirty.clear();
-    for (const file of files) await this.syncFile(file);
+    // Each file stays dirty until its own sync: a failure must not hide the files behind it.
+    for (const file of [...this.dirty]) {
+      this.dirty.delete(file);
+      await this.syncFile(file);
+    }
   }
 
   remove(file: string): void {
--- a/packages/storage/src/storage.test.ts
+++ b/packages/storage/src/storage.test.ts
@@ -43,6 +43,22 @@
   await storage.close();
 }
 
+/** Fills segments of a few entries each, lets a snapshot drop some, and gives the files dropped. */
+async function droppedSegments(folder: string, files: FileSystem): Promise<Map<string, Buffer>> {
+  const storage = await Storage.open({ files, maxSegmentBytes: 200 });
+  const hardState = { term: 1, votedFor: 'a#1' };
+  for (let index = 1; index <= 30; index += 1) {
+    await storage.append({ group: 0, hardState, entries: [entry(index)] });
+  }
+  const before = new Map<string, Buffer>();
+  for (const name of await files.list()) before.set(name, await readFile(join(folder, name)));
+  const config = { voters: ['a#1'], learners: [] };
+  await storage.saveSnapshot(0, { index: 20, term: 1, config }, new Uint8Array(0));
+  await storage.close();
+  const left = new Set(await files.list());
+  return new Map([...before].filter(([name]) => !left.has(name)));
+}
+
 /** A disk on which chosen operations fail. */
 class FailingFiles implements FileSystem {
   syncFailures = 0;
@@ -97,6 +113,43 @@
   }
 }
 
+describe('removed segments', () => {
+  test(title('that a power loss brings back, some of them, are ignored'), async (t) => {
+    for (const kept of ['first', 'last', 'all', 'none'] as const) {
+      await withFolder(async (folder, files) => {
+        const dropped = [...(await droppedSegments(folder, files))];
+        t.true(dropped.length >= 3);
+        const chosen = {
+          first: dropped.slice(0, 1),
+          last: dropped.slice(-1),
+          all: dropped,
+          none: [],
+        };
+        for (const [name, bytes] of chosen[kept]) await writeFile(join(folder, name), bytes);
+        const storage = await Storage.open({ files });
+        const found = storage.takeRecovered().get(0);
+        t.is(found?.snapshot.position.index, 20);
+        t.is(found?.entries.at(-1)?.index, 30);
+        await storage.close();
+      });
+    }
+  });
+
+  test(title('that no snapshot covers stop the start'), async (t) => {
+    await withFolder(async (folder, files) => {
+      const storage = await Storage.open({ files, maxSegmentBytes: 200 });
+      for (let index = 1; index <= 30; index += 1) {
+        const hardState = { term: 1, votedFor: 'a#1' };
+        await storage.append({ group: 0, hardState, entries: [entry(index)] });
+      }
+      await storage.close();
+      const segments = (await files.list()).filter((name) => name.startsWith('wal-'));
+      await rm(join(folder, segments[1] ?? ''));
+      await t.throwsAsync(Storage.open({ files }), { message: /is missing/ });
+    });
+  });
+});
+
 describe('Storage', () => {
   test(title('keeps every synced entry wherever the tail of the log is torn'), (t) =>
     withFolder(async (folder, files) => {
--- a/packages/storage/src/storage.ts
+++ b/packages/storage/src/storage.ts
@@ -326,7 +326,10 @@
       }
       // A segment begun after a failed write may repeat the number of the frame given up.
       const repeats = offset === 0 && expected !== undefined && frame.sequence < expected;
-      if (expected !== undefined && frame.sequence !== expected && !repeats) {
+      const isGap = expected !== undefined && frame.sequence !== expected && !repeats;
+      if (isGap && offset === 0 && this.areSegmentsCovered()) {
+        await this.forgetSegments(groups);
+      } else if (isGap) {
         throw corrupt(name, offset, `frame ${expected} is missing, found ${frame.sequence}`);
       }
       this.replay(frame.body, segment, groups);
@@ -338,6 +341,23 @@
     return expected;
   }
 
+  /** Whether the snapshots hold all that the segments read so far do. */
+  private areSegmentsCovered(): boolean {
+    return this.segments.every(({ lastIndexes }) =>
+      [...lastIndexes].every(([group, lastIndex]) => lastIndex <= this.snapshotIndexOf(group)),
+    );
+  }
+
+  /**
+   * Removes segments that had been removed before: a power loss may bring some of several
+   * removed files back, which leaves a gap between them and those in use.
+   */
+  private async forgetSegments(groups: Map<number, GroupRecovery>): Promise<void> {
+    for (const { name } of this.segments) await this.files.remove(name);
+    this.segments = [];
+    groups.clear();
+  }
+
   private replay(body: Buffer, segment: Segment, groups: Map<number, GroupRecovery>): void {
     for (const batch of decodeBatches(body)) {
       const recovery = groups.get(batch.group) ?? new GroupRecovery();
