--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -2,13 +2,12 @@
  * The control process of a fleet that finds its members itself. With a disk it is a member of
  * the fleet group; without one it passes questions and commands on to those that are.
  */
-import { randomUUID } from 'node:crypto';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { FleetSettings } from '@shedline/config';
 import { GroupNode, newCluster, planBootstrap } from '@shedline/control';
 import type { ClusterDocument, GroupHost, HelloAnswer } from '@shedline/control';
 import { LeaderCaller } from '@shedline/control-client';
-import type { CallPort, GroupStatus } from '@shedline/control-client';
+import type { CallPort } from '@shedline/control-client';
 import { ShedlineError } from '@shedline/errors';
 import { EndpointRegister, configurationProblem } from '@shedline/fleet';
 import type {
@@ -21,15 +20,13 @@
   FleetPosition,
 } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
-import type { MemberRecord } from '@shedline/mesh';
 import { PeerBook } from '@shedline/transport';
 import { FleetGroup, FLEET_GROUP } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { portsOf } from './peer-ports.js';
 import { seedAddresses } from './ports.js';
-import { isEmptied } from './retirement.js';
 import { ProcessCore } from './process-core.js';
-import { StoreFormation } from './store-formation.js';
+import { StoreKeeper } from './store-keeper.js';
 import type { RefreshAnswer, RefreshRequest } from './protocol.js';
 
 const HELLO_TIMEOUT_MS = 800;
@@ -39,9 +36,6 @@
 /** Longest wait for one process while looking for the leader. */
 const MAX_ATTEMPT_MS = 400;
 const FORGET_INTERVAL_MS = 5000;
-const STATUS_TIMEOUT_MS = 600;
-/** Log groups of the stores; a fleet of more stores spreads them over more voters. */
-const JOB_GROUP_COUNT = 4;
 
 /** Options of {@link ControlProcess}. */
 export interface ControlProcessOptions {
@@ -67,7 +61,8 @@
   private readonly groups: GroupNode | undefined;
   private readonly machine: FleetGroup;
   private readonly caller: LeaderCaller;
-  private readonly formation = new StoreFormation();
+  /** Formation and retirement of stores. */
+  readonly storeKeeper: StoreKeeper;
   /** Connections to the stores, made when one of them retires. */
   private readonly stores: PeerBook;
   private pushed: FleetPosition = { version: -1, leaveCount: 0 };
@@ -97,6 +92,14 @@
     this.machine = new FleetGroup(() => {
       this.pushSoon();
     });
+    this.storeKeeper = new StoreKeeper({
+      state: this.machine.state,
+      toleratedLosses: this.settings.toleratedLosses,
+      logger: this.logger,
+      liveStores: () => this.core.mesh.live('store'),
+      stores: this.stores,
+      propose: (command) => this.propose(command),
+    });
     this.groups = this.createGroups(options.random ?? Math.random);
     this.caller = new LeaderCaller({ ports: () => this.ports(), maxAttemptMs: MAX_ATTEMPT_MS });
   }
@@ -167,52 +170,6 @@
     });
   }
 
-  /** Has the store of an instance emptied, where enough others stay. */
-  async retireStore(instance: string): Promise<'accepted' | 'unknown' | 'tooFew'> {
-    const stores = this.core.mesh.live('store');
-    const store = stores.find((candidate) => candidate.instance === instance);
-    if (store === undefined) return 'unknown';
-    if (this.machine.state.isRetiring(store.name)) return 'accepted';
-    const staying = stores.filter(({ name }) => !this.machine.state.isRetiring(name));
-    const wanted = 2 * this.settings.toleratedLosses + 1;
-    if (staying.length - 1 < wanted) return 'tooFew';
-    await this.propose({ type: 'retireStore', store: store.name });
-    this.logger.info('store retires', {
-      step: 'retire',
-      peer: store.name,
-      staying: staying.length,
-    });
-    return 'accepted';
-  }
-
-  /** How far the emptying of a store is; undefined where none was asked for. */
-  async retirement(instance: string): Promise<'running' | 'complete' | undefined> {
-    const members = this.core.mesh.live('store');
-    const store = members.find((candidate) => candidate.instance === instance);
-    if (store === undefined || !this.machine.state.isRetiring(store.name)) return undefined;
-    const groupCount = this.machine.state.storeCluster?.jobGroupCount ?? 0;
-    const statuses = await this.storeStatuses(members);
-    return isEmptied(store.name, groupCount, statuses) ? 'complete' : 'running';
-  }
-
-  /** State of the groups at each store that answers. */
-  private async storeStatuses(members: readonly MemberRecord[]): Promise<GroupStatus[]> {
-    const book = this.stores;
-    for (const { name, host, port } of members) book.add({ name, host, port });
-    book.keepOnly(new Set(members.map((member) => member.name)));
-    const asked = members.map(async ({ name }) => {
-      try {
-        return (await book.get(name)?.request('groupStatuses', {}, STATUS_TIMEOUT_MS)) as
-          GroupStatus[] | undefined;
-      } catch (error) {
-        const reason = error instanceof Error ? error.message : String(error);
-        this.logger.debug('store gives no status', { step: 'retire', peer: name, reason });
-        return undefined;
-      }
-    });
-    return (await Promise.all(asked)).flatMap((statuses) => statuses ?? []);
-  }
-
   private propose(command: FleetCommand): Promise<FleetAnswer> {
     return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
   }
@@ -249,7 +206,8 @@
         findCluster: (hello) => this.findCluster(hello),
         roleChanged: () => undefined,
         leaderTick: (host, nowMs) => {
-          this.formStores(host, nowMs);
+          const command = this.storeKeeper.clusterToForm(nowMs);
+          if (command !== undefined) this.groups?.inBackground(host.propose(command));
         },
         housekeep: () => undefined,
       },
@@ -291,23 +249,6 @@
     return answers;
   }
 
-  private formStores(host: GroupHost, nowMs: number): void {
-    if (this.machine.state.storeCluster !== undefined) return;
-    const founding = this.core.mesh.live('store').filter((store) => store.isFounding === true);
-    const ids = founding.flatMap((store) => store.memberId ?? []);
-    const voterCount = 2 * this.settings.toleratedLosses + 1;
-    const initialMembers = this.formation.plan(ids, voterCount, nowMs);
-    if (initialMembers === undefined) return;
-    const cluster = {
-      clusterId: randomUUID(),
-      initialMembers,
-      jobGroupCount: JOB_GROUP_COUNT,
-      voterCount,
-    };
-    this.logger.info('forms the stores', { step: 'bootstrap', members: initialMembers });
-    this.groups?.inBackground(host.propose({ type: 'formStores', cluster }));
-  }
-
   /**
    * Tells the connected processes what is new, once for all that is applied in one turn: a start
    * applies the whole log. They ask again later in any case.
--- /dev/null
+++ b/packages/fleet-control/src/store-keeper.ts
@@ -0,0 +1,101 @@
+/**
+ * What control processes decide about the stores: when they form their cluster, and whether one
+ * may be emptied and taken away.
+ */
+import { randomUUID } from 'node:crypto';
+import type { GroupStatus } from '@shedline/control-client';
+import type { FleetCommand, FleetState } from '@shedline/fleet';
+import type { Logger } from '@shedline/logger';
+import type { MemberRecord } from '@shedline/mesh';
+import type { PeerBook } from '@shedline/transport';
+import { isEmptied } from './retirement.js';
+import { StoreFormation } from './store-formation.js';
+
+const STATUS_TIMEOUT_MS = 600;
+/** Log groups of the stores; a fleet of more stores spreads them over more voters. */
+const JOB_GROUP_COUNT = 4;
+
+/** Options of {@link StoreKeeper}. */
+export interface StoreKeeperOptions {
+  readonly state: FleetState;
+  readonly toleratedLosses: number;
+  readonly logger: Logger;
+  /** Stores that are up. */
+  readonly liveStores: () => readonly MemberRecord[];
+  /** Connections to the stores, made when one of them retires. */
+  readonly stores: PeerBook;
+  readonly propose: (command: FleetCommand) => Promise<unknown>;
+}
+
+/** Formation and retirement of stores. */
+export class StoreKeeper {
+  private readonly options: StoreKeeperOptions;
+  private readonly formation = new StoreFormation();
+
+  constructor(options: StoreKeeperOptions) {
+    this.options = options;
+  }
+
+  /** The cluster of the stores, if it is time to form it. */
+  clusterToForm(nowMs: number): FleetCommand | undefined {
+    const { state, liveStores, logger } = this.options;
+    if (state.storeCluster !== undefined) return undefined;
+    const founding = liveStores().filter((store) => store.isFounding === true);
+    const ids = founding.flatMap((store) => store.memberId ?? []);
+    const voterCount = this.wantedVoters();
+    const initialMembers = this.formation.plan(ids, voterCount, nowMs);
+    if (initialMembers === undefined) return undefined;
+    logger.info('forms the stores', { step: 'bootstrap', members: initialMembers });
+    const sizes = { jobGroupCount: JOB_GROUP_COUNT, voterCount };
+    return { type: 'formStores', cluster: { clusterId: randomUUID(), initialMembers, ...sizes } };
+  }
+
+  /** Has the store of an instance emptied, where enough others stay. */
+  async retire(instance: string): Promise<'accepted' | 'unknown' | 'tooFew'> {
+    const stores = this.options.liveStores();
+    const store = stores.find((candidate) => candidate.instance === instance);
+    if (store === undefined) return 'unknown';
+    if (this.options.state.isRetiring(store.name)) return 'accepted';
+    const staying = stores.filter(({ name }) => !this.options.state.isRetiring(name));
+    if (staying.length - 1 < this.wantedVoters()) return 'tooFew';
+    await this.options.propose({ type: 'retireStore', store: store.name });
+    this.options.logger.info('store retires', {
+      step: 'retire',
+      peer: store.name,
+      staying: staying.length,
+    });
+    return 'accepted';
+  }
+
+  /** How far the emptying of a store is; undefined where none was asked for. */
+  async retirement(instance: string): Promise<'running' | 'complete' | undefined> {
+    const members = this.options.liveStores();
+    const store = members.find((candidate) => candidate.instance === instance);
+    if (store === undefined || !this.options.state.isRetiring(store.name)) return undefined;
+    const groupCount = this.options.state.storeCluster?.jobGroupCount ?? 0;
+    const statuses = await this.storeStatuses(members);
+    return isEmptied(store.name, groupCount, statuses) ? 'complete' : 'running';
+  }
+
+  /** State of the groups at each store that answers. */
+  private async storeStatuses(members: readonly MemberRecord[]): Promise<GroupStatus[]> {
+    const book = this.options.stores;
+    for (const { name, host, port } of members) book.add({ name, host, port });
+    book.keepOnly(new Set(members.map((member) => member.name)));
+    const asked = members.map(async ({ name }) => {
+      try {
+        return (await book.get(name)?.request('groupStatuses', {}, STATUS_TIMEOUT_MS)) as
+          GroupStatus[] | undefined;
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.options.logger.debug('store gives no status', { step: 'retire', peer: name, reason });
+        return undefined;
+      }
+    });
+    return (await Promise.all(asked)).flatMap((statuses) => statuses ?? []);
+  }
+
+  private wantedVoters(): number {
+    return 2 * this.options.toleratedLosses + 1;
+  }
+}
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -11,29 +11,20 @@
 import type { Logger } from '@shedline/logger';
 import { PeerBook } from '@shedline/transport';
 import type { PeerClient } from '@shedline/transport';
-import { ItemDispenser } from '@shedline/whole-jobs';
-import type { ItemRef, ItemRequest, WholeJobCommand } from '@shedline/whole-jobs';
+import type { WholeJobCommand } from '@shedline/whole-jobs';
 import { WholeJobGroup } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { ProcessCore } from './process-core.js';
-import type {
-  BodyAnswer,
-  BodyRequest,
-  GrantAnswer,
-  JobEndedMessage,
-  RefreshAnswer,
-  RenewRequest,
-  ResultsAnswer,
-  ResultsRequest,
-} from './protocol.js';
+import { JobRequests } from './job-requests.js';
+import type { JobEndedMessage, RefreshAnswer } from './protocol.js';
 
 const FIRST_JOB_GROUP = 1;
+/** Requests that are commands of a job group. */
+const PROPOSALS: ReadonlySet<string> = new Set(['submitJob', 'commitRuns', 'endJob']);
 const JOIN_PAUSE_MS = 200;
 const REFRESH_TIMEOUT_MS = 800;
 /** Time between looks at the state of the fleet; news is pushed besides. */
 const REFRESH_INTERVAL_MS = 1000;
-/** Time that items stay with an entry that says nothing; entries renew every second. */
-const ITEM_LEASE_MS = 4000;
 /** Clocks differ a little, and a reader may come late. */
 const RETENTION_MARGIN_MS = 30_000;
 
@@ -60,9 +51,7 @@
   private readonly stores: PeerBook;
   private readonly groups: GroupNode;
   private readonly fleet = new KnownFleet();
-  private readonly dispensers = new Map<number, ItemDispenser>();
-  /** Readers that wait for a result, by job. */
-  private readonly readers = new Map<string, Set<() => void>>();
+  private readonly requests: JobRequests;
   private readonly random: () => number;
   private timer: NodeJS.Timeout | undefined;
   private stopped = false;
@@ -88,6 +77,7 @@
       },
     });
     this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
+    this.requests = new JobRequests({ name: this.core.name, nowMs: this.nowMs });
     this.random = options.random ?? Math.random;
     this.groups = this.createGroups();
   }
@@ -140,13 +130,11 @@
           }),
         findCluster: () => this.findCluster(),
         roleChanged: (host) => {
-          if (host.isLeading) this.dispenserOf(host.group).becameLeader(this.nowMs());
+          if (host.isLeading) this.requests.becameLeader(host.group);
         },
-        leaderTick: (host, nowMs) => {
+        leaderTick: (host) => {
           const { machine } = host;
-          if (machine instanceof WholeJobGroup) {
-            this.dispenserOf(host.group).sweep(machine.jobs, nowMs);
-          }
+          if (machine instanceof WholeJobGroup) this.requests.sweep(host.group, machine);
         },
         isRetiring: (store) => this.fleet.isRetiring(store),
         housekeep: (host) => {
@@ -199,14 +187,6 @@
     this.stores.keepOnly(wanted);
   }
 
-  private dispenserOf(group: number): ItemDispenser {
-    const known = this.dispensers.get(group);
-    if (known !== undefined) return known;
-    const fresh = new ItemDispenser({ leaseMs: ITEM_LEASE_MS });
-    this.dispensers.set(group, fresh);
-    return fresh;
-  }
-
   private sweep(host: GroupHost): void {
     const retentionMs = this.settings.jobRetentionS * 1000 + RETENTION_MARGIN_MS;
     this.groups.inBackground(host.propose({ type: 'sweep', atMs: Date.now(), retentionMs }));
@@ -214,24 +194,13 @@
 
   /** Wakes those that wait for what a command brought. */
   private applied(group: number, command: WholeJobCommand): void {
-    if (command.type === 'commitRuns') {
-      const { holder, failed, returned } = command;
-      this.dispenserOf(group).release(holder, [...failed, ...returned]);
-      const changed = [...command.finished, ...command.failed];
-      for (const jobId of new Set(changed.map((run) => run.jobId))) this.wakeReaders(jobId);
-    }
+    if (command.type === 'commitRuns') this.requests.runsCommitted(group, command);
     if (command.type !== 'endJob') return;
-    this.wakeReaders(command.jobId);
+    this.requests.wakeReaders(command.jobId);
     if (this.groups.hosts.get(group)?.isLeading !== true) return;
     this.core.broadcast('jobEnded', { jobId: command.jobId } satisfies JobEndedMessage);
   }
 
-  private wakeReaders(jobId: string): void {
-    const waiting = this.readers.get(jobId);
-    this.readers.delete(jobId);
-    for (const wake of waiting ?? []) wake();
-  }
-
   private async onRequest(method: string, payload: unknown): Promise<unknown> {
     const answer = this.groups.answer(method, payload);
     if (answer !== undefined) return answer;
@@ -241,107 +210,15 @@
     if (host === undefined || !(host.machine instanceof WholeJobGroup)) {
       throw this.unavailable(method, `group ${group} is not open here`);
     }
-    const { machine } = host;
-    switch (method) {
-      case 'submitJob':
-      case 'commitRuns':
-      case 'endJob':
-        return host.propose({ ...(body as object), type: method, atMs: Date.now() });
-      case 'jobResults':
-        return this.results(host, machine, body as ResultsRequest);
-      case 'itemBody':
-        return this.itemBody(host, machine, body as BodyRequest);
-      case 'grantItems':
-        return this.grant(host, machine, body as ItemRequest);
-      case 'renewItems':
-        return this.renew(host, machine, body as RenewRequest);
-      default:
-        throw this.unavailable(method, `${this.core.name} answers no ${method}`);
+    if (PROPOSALS.has(method)) {
+      return host.propose({ ...(body as object), type: method, atMs: Date.now() });
     }
+    const answered = this.requests.answer(method, host, host.machine, body);
+    if (answered !== undefined) return answered;
+    throw this.unavailable(method, `${this.core.name} answers no ${method}`);
   }
 
-  private async results(
-    host: GroupHost,
-    machine: WholeJobGroup,
-    request: ResultsRequest,
-  ): Promise<ResultsAnswer> {
-    const { jobId, position, maxBytes, waitMs } = request;
-    await host.confirmLeadership();
-    const page = machine.jobs.results(jobId, position, maxBytes);
-    if (page === undefined || page.results.length > 0 || waitMs <= 0) return page;
-    if (machine.jobs.get(jobId)?.isOpen !== true) return page;
-    await this.untilChanged(jobId, waitMs);
-    await host.confirmLeadership();
-    return machine.jobs.results(jobId, position, maxBytes);
-  }
-
-  private untilChanged(jobId: string, waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const waiting = this.readers.get(jobId) ?? new Set();
-      const wake = (): void => {
-        clearTimeout(timer);
-        waiting.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, waitMs);
-      waiting.add(wake);
-      this.readers.set(jobId, waiting);
-    });
-  }
-
-  private async itemBody(
-    host: GroupHost,
-    machine: WholeJobGroup,
-    request: BodyRequest,
-  ): Promise<BodyAnswer> {
-    await host.confirmLeadership();
-    const job = machine.jobs.get(request.jobId);
-    if (job === undefined || job.isEnded) return { body: undefined };
-    return { body: job.findItem(request.itemId)?.body };
-  }
-
-  private grant(host: GroupHost, machine: WholeJobGroup, request: ItemRequest): GrantAnswer {
-    this.requireLeading(host, 'grantItems');
-    const { jobs } = machine;
-    const dispenser = this.dispenserOf(host.group);
-    const time = { nowMs: this.nowMs(), wallMs: Date.now() };
-    const granted = dispenser.grant(jobs, request, time);
-    const items = granted.map(({ job, index, progress }) => {
-      const { jobId, host: jobHost, path } = job.identity;
-      const { dueAtMs } = job;
-      const item = job.item(index);
-      return {
-        jobId,
-        index,
-        host: jobHost,
-        path,
-        dueAtMs,
-        item,
-        ...(progress === undefined ? {} : { progress }),
-      };
-    });
-    return { items, waitingItems: dispenser.unheldCount(jobs, request.quotaKey, this.nowMs()) };
-  }
-
-  private async renew(
-    host: GroupHost,
-    machine: WholeJobGroup,
-    request: RenewRequest,
-  ): Promise<ItemRef[]> {
-    // A leader that was just elected may not have applied all jobs yet: it must not call items
-    // over that it does not know.
-    await host.confirmLeadership();
-    const dispenser = this.dispenserOf(host.group);
-    return dispenser.renew(machine.jobs, request.holder, request.refs, this.nowMs());
-  }
-
-  private requireLeading(host: GroupHost, step: string): void {
-    if (host.isLeading) return;
-    const leader = host.consensus.leaderId.split('#')[0] ?? '';
-    throw this.unavailable(step, `does not lead group ${host.group}`, leader);
-  }
-
-  private unavailable(step: string, message: string, leader = ''): ShedlineError {
+  private unavailable(step: string, message: string): ShedlineError {
     const peer = this.core.name;
     return new ShedlineError({
       type: 'unavailable',
@@ -349,7 +226,6 @@
       step,
       peer,
       ran: 'no',
-      details: { leader },
     });
   }
 }
