--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -125,6 +125,18 @@
     });
   });
 
+  test(
+    title('takes an answer without length for complete only if its connection was not reset'),
+    async (t) => {
+      const bytes = `HTTP/1.1 200 OK\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n\r\npart`;
+      t.is((await answeredWith(bytes, 'end')).result.kind, 'complete');
+      t.like((await answeredWith(bytes, 'reset')).result, {
+        kind: 'ended',
+        outcome: { kind: 'brokeOff' },
+      });
+    },
+  );
+
   test(title('knows a refusal that says that nothing ran'), async (t) => {
     const bytes = 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
     const { result } = await answeredWith(bytes, 'keep');
