Keep listening during a planned stop until nothing arrives any more

Traced by logging connections, requests and destroyed sockets: 14 of the 20 connections had been taken when the listener closed at once; the other 6 waited in the kernel's queue and were reset with it. closeIdleConnections, the earlier suspect, closed only answered ones. Ruled out with it: the flush at the end. Change: a stopping entry listens until no request has been under way for 250 ms (or the drain times out), then closes.

--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -180,6 +180,21 @@
       ),
   );
 
+  test.serial(title('a planned stop answers what still arrives while requests run'), (t) =>
+    withFleet({ engine: { times: { ...FAST, stepMs: 30 } } }, async (fleet) => {
+      const [url = ''] = fleet.urls;
+      const running = ask(url, question('one that runs when the stop begins'));
+      await pause(100);
+      const drained = fleet.entries[0]?.drain();
+      await pause(100);
+      // A connection that was made before the stop may be taken, and its request read, only now.
+      const late = await ask(url, question('one that arrives after it'));
+      t.true(late.isWhole);
+      t.true((await running).isWhole);
+      await drained;
+    }),
+  );
+
   test.serial(title('an entry that is drained under load cuts nothing, and callers move on'), (t) =>
     withFleet(
       { engines: 3, entries: 3, engine: { times: { ...FAST, stepMs: 10 } } },
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -33,6 +33,8 @@
 
 const CLEANUP_INTERVAL_MS = 30_000;
 const POLL_MS = 20;
+/** Time without any request after which a stopping entry closes its connections. */
+const QUIET_MS = 250;
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Time for the news of a drain to reach every entry that hands out addresses. */
 const DRAIN_NEWS_MS = 1500;
@@ -72,6 +74,7 @@
   private draining = false;
   private isReady = false;
   private openRequests = 0;
+  private requestsBegun = 0;
   private requestCount = 0;
   private timers: NodeJS.Timeout[] = [];
   private drained: Promise<void> | undefined;
@@ -172,16 +175,28 @@
     this.peers.handOverSessions();
     await this.reader.refresh();
     if (this.hasOtherEntries()) await pause(this.entry.keepForMs + DRAIN_NEWS_MS);
-    const server = this.server as Server | undefined;
-    server?.close();
-    server?.closeIdleConnections();
-    const deadlineMs = this.nowMs() + this.entry.drainTimeoutMs;
-    while (this.openRequests > 0 && this.nowMs() < deadlineMs) await pause(POLL_MS);
+    await this.untilQuiet(this.nowMs() + this.entry.drainTimeoutMs);
     await batchDrained;
     this.logger.info('drained', { step: 'drain', cutRequests: this.openRequests });
     await this.kill();
   }
 
+  /**
+   * Waits until nothing has been under way for a while. The listener stays open meanwhile: closing
+   * it would reset connections that wait to be taken, and idle ones whose next request has been
+   * sent but not read.
+   */
+  private async untilQuiet(deadlineMs: number): Promise<void> {
+    let quietSinceMs = this.nowMs();
+    let seenRequests = this.requestsBegun;
+    while (this.nowMs() < deadlineMs && this.nowMs() - quietSinceMs < QUIET_MS) {
+      await pause(POLL_MS);
+      const isQuiet = this.openRequests === 0 && this.requestsBegun === seenRequests;
+      if (!isQuiet) quietSinceMs = this.nowMs();
+      seenRequests = this.requestsBegun;
+    }
+  }
+
   private hasOtherEntries(): boolean {
     return this.reader.entries.some(
       (status) => status.entry !== this.settings.name && !status.draining,
@@ -279,6 +294,7 @@
       isServing: () => !this.draining,
       track: (change) => {
         this.openRequests += change;
+        if (change === 1) this.requestsBegun += 1;
         this.metrics.setOpen('online', this.openRequests);
       },
       logger: this.logger,
