--- a/packages/entry/src/endpoint-driver.ts
+++ b/packages/entry/src/endpoint-driver.ts
@@ -5,6 +5,7 @@
 import { createParser } from 'eventsource-parser';
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
+import { connectorWithin } from '@shedline/http-connector';
 import type { SendProgress } from '@shedline/admission';
 import { provesNotSent } from '@shedline/errors';
 import { REQUEST_ID_HEADER } from '@shedline/types';
@@ -88,7 +89,7 @@
 
   constructor() {
     const options = {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: connectorWithin(CONNECT_TIMEOUT_MS),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: 30_000,
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -20,6 +20,7 @@
   FleetPosition,
 } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
+import { ProcessMetrics } from '@shedline/metrics';
 import { PeerBook } from '@shedline/transport';
 import { FleetGroup, FLEET_GROUP } from './machines.js';
 import { groupSettings } from './group-settings.js';
@@ -54,6 +55,7 @@
 /** One control process. */
 export class ControlProcess {
   readonly core: ProcessCore;
+  readonly metrics = new ProcessMetrics();
   private readonly settings: FleetSettings;
   private readonly logger: Logger;
   private readonly nowMs: () => number;
@@ -102,6 +104,7 @@
     });
     this.groups = this.createGroups(options.random ?? Math.random);
     this.caller = new LeaderCaller({ ports: () => this.ports(), maxAttemptMs: MAX_ATTEMPT_MS });
+    this.addGauges();
   }
 
   /** Joins the fleet, or forms it with the other seeds. */
@@ -174,8 +177,26 @@
     return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
   }
 
-  private callLeader(method: string, payload: unknown): Promise<unknown> {
-    return this.caller.call(method, FLEET_GROUP, payload, CALL_TIMEOUT_MS);
+  private async callLeader(method: string, payload: unknown): Promise<unknown> {
+    const beganMs = this.nowMs();
+    let outcome = 'failed';
+    try {
+      const answer = await this.caller.call(method, FLEET_GROUP, payload, CALL_TIMEOUT_MS);
+      outcome = 'complete';
+      return answer;
+    } finally {
+      this.metrics.count('shedline_leader_calls_total', { method, outcome });
+      this.metrics.took('shedline_leader_call_milliseconds', { method }, this.nowMs() - beganMs);
+    }
+  }
+
+  private addGauges(): void {
+    const { state } = this.machine;
+    this.metrics.gauge('shedline_configuration_version', () => state.position.version);
+    this.metrics.gauge('shedline_leave_records', () => state.position.leaveCount);
+    this.metrics.gauge('shedline_groups_led', () => this.groups?.leading().length ?? 0);
+    this.metrics.gauge('shedline_live_entries', () => this.core.mesh.live('entry').length);
+    this.metrics.gauge('shedline_live_stores', () => this.core.mesh.live('store').length);
   }
 
   /** Processes that may lead the fleet group; this one first. */
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -9,6 +9,7 @@
 import { KnownFleet } from '@shedline/fleet';
 import type { FleetDelta } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
+import { ProcessMetrics } from '@shedline/metrics';
 import { PeerBook } from '@shedline/transport';
 import type { PeerClient } from '@shedline/transport';
 import type { WholeJobCommand } from '@shedline/whole-jobs';
@@ -45,6 +46,7 @@
 /** One store process. */
 export class StoreProcess {
   readonly core: ProcessCore;
+  readonly metrics = new ProcessMetrics();
   private readonly settings: FleetSettings;
   private readonly logger: Logger;
   private readonly nowMs: () => number;
@@ -80,6 +82,7 @@
     this.requests = new JobRequests({ name: this.core.name, nowMs: this.nowMs });
     this.random = options.random ?? Math.random;
     this.groups = this.createGroups();
+    this.addGauges();
   }
 
   /** Joins the cluster of the stores. */
@@ -210,14 +213,34 @@
     if (host === undefined || !(host.machine instanceof WholeJobGroup)) {
       throw this.unavailable(method, `group ${group} is not open here`);
     }
-    if (PROPOSALS.has(method)) {
-      return host.propose({ ...(body as object), type: method, atMs: Date.now() });
-    }
+    if (PROPOSALS.has(method)) return this.propose(host, method, body);
     const answered = this.requests.answer(method, host, host.machine, body);
     if (answered !== undefined) return answered;
     throw this.unavailable(method, `${this.core.name} answers no ${method}`);
   }
 
+  private async propose(host: GroupHost, method: string, body: unknown): Promise<unknown> {
+    const beganMs = this.nowMs();
+    let outcome = 'failed';
+    try {
+      const command = { ...(body as object), type: method, atMs: Date.now() };
+      const answer = await host.propose(command);
+      outcome = 'complete';
+      return answer;
+    } finally {
+      this.metrics.count('shedline_commands_total', { method, outcome });
+      this.metrics.took('shedline_command_milliseconds', { method }, this.nowMs() - beganMs);
+    }
+  }
+
+  private addGauges(): void {
+    this.metrics.gauge('shedline_groups_led', () => this.groups.leading().length);
+    this.metrics.gauge('shedline_syncs', () => this.groups.syncCount);
+    this.metrics.gauge('shedline_disk_refuses_writes', () =>
+      this.groups.diskFailure === '' ? 0 : 1,
+    );
+  }
+
   private unavailable(step: string, message: string): ShedlineError {
     const peer = this.core.name;
     return new ShedlineError({
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -2,8 +2,9 @@
  * Sends one request to one endpoint over kept connections and reports how it ended. It decides
  * nothing: what an outcome means for the request is up to its plan.
  */
-import { Pool, buildConnector } from 'undici';
+import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
+import { connectorWithin } from '@shedline/http-connector';
 import { EventFramer } from './event-framer.js';
 import type { StreamEvent } from './event-framer.js';
 import type { EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
@@ -116,32 +117,13 @@
       connections: this.maxConnections,
       pipelining: 1,
       keepAliveTimeout: IDLE_CONNECTION_MS,
-      connect,
+      connect: connectorWithin(CONNECT_TIMEOUT_MS),
     });
     this.pools.set(address, pool);
     return pool;
   }
 }
 
-const connectWithin = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-/** Connects, and makes a reset of the connection visible as what it is. */
-function connect(options: buildConnector.Options, callback: buildConnector.Callback): void {
-  connectWithin(options, (...result) => {
-    const [error, socket] = result;
-    if (error === null) socket.prependListener('error', relabelReset);
-    callback(...result);
-  });
-}
-
-/**
- * The client library takes an answer without a length for complete when its connection is reset
- * (`ECONNRESET`); only one that was closed in order is. Under another code it reports the error.
- */
-function relabelReset(error: NodeJS.ErrnoException): void {
-  if (error.code === 'ECONNRESET') error.code = 'CONNECTION_RESET';
-}
-
 /** Follows one send through the events of its connection. */
 class SendHandler implements Dispatcher.DispatchHandler, RunningSend {
   readonly result: Promise<SendResult>;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -12,12 +12,12 @@
 import { EndpointSender, Forwarder } from '@shedline/forwarding';
 import type { AnswerSink, CallerRequest, EndpointProtocol } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
+import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
 import { PeerBook } from '@shedline/transport';
 import { EndpointPool } from './endpoint-pool.js';
 import type { LoadCount } from './endpoint-pool.js';
 import { FleetFollower } from './fleet-follower.js';
-import { GatewayMetrics } from './gateway-metrics.js';
 import { ItemRunner } from './item-runner.js';
 import { JobDesk } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
@@ -58,7 +58,7 @@
 export class GatewayProcess {
   readonly core: ProcessCore;
   readonly jobs: JobDesk;
-  readonly metrics = new GatewayMetrics();
+  readonly metrics = new ProcessMetrics();
   private readonly settings: FleetSettings;
   private readonly logger: Logger;
   private readonly random: () => number;
@@ -202,7 +202,10 @@
         deadlineMs: beganMs + limitMs,
         sink,
       });
-      this.metrics.ended(route.name, end, this.nowMs() - beganMs);
+      const { name } = route;
+      this.metrics.count('shedline_requests_total', { route: name, outcome: end });
+      const tookMs = this.nowMs() - beganMs;
+      this.metrics.took('shedline_request_milliseconds', { route: name }, tookMs);
     } finally {
       this.openRequests -= 1;
     }
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -5,3 +5,4 @@
 export * from './burn-page.js';
 export * from './exposition.js';
 export * from './latency.js';
+export * from './process-metrics.js';
