--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -25,6 +25,7 @@
       isNotExecuted: value('not-executed') !== undefined,
       isSigned: value('stamp') !== undefined,
       isEventStream: value('content-type') === 'text/event-stream',
+      endsWithConnection: value('transfer-encoding') === undefined,
     };
   },
 };
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -34,7 +34,12 @@
 
 /** Where the answer goes. */
 export interface AnswerSink {
-  head(status: number, headers: RawHeaders): void;
+  /** `endsWithConnection`: without length or chunks, as {@link EndpointHead} says. */
+  head(
+    status: number,
+    headers: RawHeaders,
+    options?: { readonly endsWithConnection?: boolean },
+  ): void;
   /** False: wait for {@link onDrain}. */
   write(bytes: Buffer): boolean;
   onDrain(listener: () => void): void;
@@ -219,7 +224,8 @@
   private sendHead(): void {
     if (this.headSent || this.pendingHead === undefined) return;
     this.headSent = true;
-    this.task.sink.head(this.pendingHead.status, this.pendingHead.headers);
+    const { status, headers, endsWithConnection } = this.pendingHead;
+    this.task.sink.head(status, headers, { endsWithConnection });
     this.plan.passedOn(undefined);
   }
 
@@ -237,7 +243,8 @@
 
   private passOn(result: SendResult & { kind: 'failure' }): ForwardEnd {
     const { sink } = this.task;
-    sink.head(result.head.status, result.head.headers);
+    const { status, headers, endsWithConnection } = result.head;
+    sink.head(status, headers, { endsWithConnection });
     sink.write(result.body);
     sink.end();
     return this.close('passedOn');
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -41,6 +41,11 @@
   /** The answer carries the endpoint's signature. */
   readonly isSigned: boolean;
   readonly isEventStream: boolean;
+  /**
+   * The body has neither a length nor chunks: it ends where its connection does, and nothing
+   * tells whether it was whole.
+   */
+  readonly endsWithConnection: boolean;
 }
 
 /** The form in which endpoints are spoken to. */
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -128,6 +128,7 @@
   isNotExecuted: false,
   isSigned: true,
   isEventStream: false,
+  endsWithConnection: false,
 };
 
 const PROTOCOL: EndpointProtocol = {
