Divide endpoints among the entries of a large fleet

Change: Reach lays entries and endpoints on a circle by availability zone; in fleets over 16 entries an endpoint has about 10 users, who alone tell each other counts and keep connections; the owner of batch work is one of them, hashed only when the list changes. Endpoints beyond reach are taken where those in reach have only queues. Conclusion: counts no longer grow with the fleet; small fleets are not divided and stay as they were.

--- a/packages/batch/src/batch.test.ts
+++ b/packages/batch/src/batch.test.ts
@@ -117,10 +117,10 @@
       const names = ['a', 'b', 'c'];
       const entries = names.map((self) => new BatchOwnership({ self, takeoverWaitMs: 100 }));
       const endpoints = Array.from({ length: 30 }, (_, n) => `e${n}`);
-      for (const entry of entries) entry.update(endpoints, names, 0);
+      for (const entry of entries) entry.update(endpoints, () => names, 0);
       t.deepEqual(entries.flatMap((entry) => entry.owned(0)).sort(), [...endpoints].sort());
       const lost = entries[2]?.owned(0) ?? [];
-      for (const entry of entries.slice(0, 2)) entry.update(endpoints, ['a', 'b'], 1000);
+      for (const entry of entries.slice(0, 2)) entry.update(endpoints, () => ['a', 'b'], 1000);
       const ownedAt = (nowMs: number): string[] =>
         entries.slice(0, 2).flatMap((entry) => entry.owned(nowMs));
       t.true(lost.every((endpoint) => !ownedAt(1050).includes(endpoint)));
--- a/packages/batch/src/ownership.ts
+++ b/packages/batch/src/ownership.ts
@@ -13,26 +13,37 @@
   readonly takeoverWaitMs?: number;
 }
 
+/** The owner that a list of candidates gave. */
+interface Choice {
+  readonly candidates: readonly string[];
+  readonly owner: string;
+}
+
 /** The endpoints that this entry owns for batch work. */
 export class BatchOwnership {
   private readonly self: string;
   private readonly takeoverWaitMs: number;
   private readonly owners = new Map<string, string>();
   private readonly ownedSinceMs = new Map<string, number>();
+  private readonly chosen = new Map<string, Choice>();
 
   constructor(options: BatchOwnershipOptions) {
     this.self = options.self;
     this.takeoverWaitMs = options.takeoverWaitMs ?? DEFAULT_TAKEOVER_WAIT_MS;
   }
 
-  /** Takes the present endpoints and live entries. */
-  update(endpointIds: readonly string[], liveEntries: readonly string[], nowMs: number): void {
+  /** Takes the present endpoints, and for each the live entries that may own it. */
+  update(
+    endpointIds: readonly string[],
+    candidatesOf: (endpointId: string) => readonly string[],
+    nowMs: number,
+  ): void {
     const present = new Set(endpointIds);
     for (const endpointId of this.owners.keys()) {
       if (!present.has(endpointId)) this.forget(endpointId);
     }
     for (const endpointId of endpointIds) {
-      const owner = rendezvousOrder(`batch|${endpointId}`, liveEntries, 1)[0] ?? this.self;
+      const owner = this.ownerAmong(endpointId, candidatesOf(endpointId));
       this.setOwner(endpointId, owner, nowMs);
     }
   }
@@ -49,6 +60,15 @@
       .map(([endpointId]) => endpointId);
   }
 
+  /** Hashes again only when the list of candidates is another one. */
+  private ownerAmong(endpointId: string, candidates: readonly string[]): string {
+    const last = this.chosen.get(endpointId);
+    if (last?.candidates === candidates) return last.owner;
+    const owner = rendezvousOrder(`batch|${endpointId}`, candidates, 1)[0] ?? this.self;
+    this.chosen.set(endpointId, { candidates, owner });
+    return owner;
+  }
+
   private setOwner(endpointId: string, owner: string, nowMs: number): void {
     const before = this.owners.get(endpointId);
     if (before === owner) return;
@@ -64,6 +84,7 @@
 
   private forget(endpointId: string): void {
     this.owners.delete(endpointId);
+    this.chosen.delete(endpointId);
     this.ownedSinceMs.delete(endpointId);
   }
 }
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -4,3 +4,4 @@
 export * from './cells.js';
 export * from './endpoint-directory.js';
 export * from './entry-membership.js';
+export * from './reach.js';
--- /dev/null
+++ b/packages/directory/src/reach.test.ts
@@ -0,0 +1,94 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { describe, title } from '@shedline/test-utils';
+import { Reach } from './reach.js';
+import type { Placed } from './reach.js';
+
+const SEED = 19;
+const ZONES = ['a', 'b', 'c'];
+
+function placed(prefix: string, count: number): Placed[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `${prefix}${index}`,
+    availabilityZone: ZONES[index % ZONES.length] ?? '',
+  }));
+}
+
+const entryCount = fc.integer({ min: 1, max: 90 });
+const endpointCount = fc.integer({ min: 0, max: 120 });
+
+describe('Reach', () => {
+  test(title('is the whole fleet for everybody where the fleet is small'), (t) => {
+    const entries = placed('entry', 12);
+    const endpoints = placed('endpoint', 30);
+    const reach = new Reach({ entries, endpoints });
+    for (const { name } of entries) {
+      t.is(new Set(reach.endpointsOf(name)).size, 30);
+      t.is(reach.peersOf(name).length, 11);
+    }
+  });
+
+  test(title('names no endpoint twice, and the same users from both sides'), (t) => {
+    fc.assert(
+      fc.property(entryCount, endpointCount, (entriesTotal, endpointsTotal) => {
+        const entries = placed('entry', entriesTotal);
+        const endpoints = placed('endpoint', endpointsTotal);
+        const reach = new Reach({ entries, endpoints });
+        for (const { name } of entries) {
+          const used = reach.endpointsOf(name);
+          if (new Set(used).size !== used.length) return false;
+          if (!used.every((endpoint) => reach.entriesOf(endpoint).includes(name))) return false;
+        }
+        return endpoints.every((endpoint) =>
+          reach
+            .entriesOf(endpoint.name)
+            .every((name) => reach.endpointsOf(name).includes(endpoint.name)),
+        );
+      }),
+      { seed: SEED, numRuns: 150 },
+    );
+    t.pass();
+  });
+
+  test(title('gives all endpoints of a divided fleet about as many users'), (t) => {
+    fc.assert(
+      fc.property(fc.integer({ min: 17, max: 90 }), endpointCount, (entriesTotal, total) => {
+        const endpoints = placed('endpoint', total);
+        const reach = new Reach({ entries: placed('entry', entriesTotal), endpoints });
+        const users = endpoints.map(({ name }) => reach.entriesOf(name).length);
+        if (users.length === 0) return true;
+        const [least, most] = [Math.min(...users), Math.max(...users)];
+        return least > 0 && most - least <= 2 + Math.ceil(entriesTotal / total);
+      }),
+      { seed: SEED, numRuns: 150 },
+    );
+    t.pass();
+  });
+
+  test(title('bounds the peers of an entry whatever the size of the fleet'), (t) => {
+    for (const size of [60, 360, 1000]) {
+      const entries = placed('entry', size);
+      const reach = new Reach({ entries, endpoints: placed('endpoint', size) });
+      const counts = entries.map(({ name }) => reach.peersOf(name).length);
+      t.true(Math.max(...counts) <= 24, `${Math.max(...counts)} peers of ${size}`);
+    }
+  });
+
+  test(title('leaves no endpoint of a very large fleet without a user'), (t) => {
+    const endpoints = placed('endpoint', 12_000);
+    const reach = new Reach({ entries: placed('entry', 360), endpoints });
+    t.true(endpoints.every(({ name }) => reach.entriesOf(name).length > 0));
+    t.true(reach.endpointsOf('entry0').length <= 64);
+  });
+
+  test(title('changes little for an entry when another one goes'), (t) => {
+    const entries = placed('entry', 60);
+    const endpoints = placed('endpoint', 62);
+    const before = new Reach({ entries, endpoints });
+    const after = new Reach({ entries: entries.slice(1), endpoints });
+    for (const { name } of entries.slice(1)) {
+      const kept = after.endpointsOf(name).filter((one) => before.endpointsOf(name).includes(one));
+      t.true(kept.length >= after.endpointsOf(name).length - 2);
+    }
+  });
+});
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -163,7 +163,8 @@
     const nowMs = this.options.nowMs();
     const live = this.options.fleet.endpoints.live(nowMs);
     const ids = live.map(({ announcement }) => announcement.endpointId);
-    this.ownership.update(ids, this.options.liveEntries(), nowMs);
+    const liveEntries = this.options.liveEntries();
+    this.ownership.update(ids, () => liveEntries, nowMs);
   }
 
   private async tickForever(): Promise<void> {
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -2,7 +2,7 @@
  * The endpoints as one entry sees them: who may take work, and how much is under way there.
  */
 import { EndpointDirectory } from '@shedline/directory';
-import type { KnownEndpoint } from '@shedline/directory';
+import type { KnownEndpoint, Placed } from '@shedline/directory';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting } from '@shedline/routing';
@@ -30,6 +30,8 @@
   readonly random: () => number;
   readonly nowMs: () => number;
   readonly isLeaving: (endpointId: string) => boolean;
+  /** Whether this entry sends to an endpoint while others of its own have room. */
+  readonly isInReach: (endpointId: string) => boolean;
   /** Told when the load of an endpoint changed by this entry's own work. */
   readonly onLoadChange: (endpointId: string) => void;
   /** Told when an online request goes to an endpoint without a free slot. */
@@ -92,10 +94,20 @@
     return new Set(this.addresses.values());
   }
 
-  /** Endpoints of a service that may take work now. */
-  usable(service: string): SlotCandidate[] {
-    const nowMs = this.options.nowMs();
-    return this.directory.forService(service, nowMs).map((known) => this.candidateOf(known, nowMs));
+  /** Endpoints of a service in reach that may take work now. */
+  usableInReach(service: string): SlotCandidate[] {
+    return this.usable(service).filter(({ endpointId }) => this.options.isInReach(endpointId));
+  }
+
+  /** Endpoints that are up and do not leave, whether or not they take work now. */
+  present(): Placed[] {
+    return this.directory
+      .live(this.options.nowMs())
+      .filter(({ announcement }) => !announcement.leaving)
+      .map(({ announcement }) => ({
+        name: announcement.endpointId,
+        availabilityZone: announcement.availabilityZone,
+      }));
   }
 
   /** Whether an endpoint may take work now. */
@@ -110,7 +122,7 @@
 
   choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
     const candidates = this.usable(service).filter(({ endpointId }) => !tried.has(endpointId));
-    const chosen = this.routing.choose(candidates, this.options.availabilityZone);
+    const chosen = this.chooseNear(candidates);
     if (chosen === undefined) return undefined;
     const { endpointId, online, batch, slots } = chosen;
     const address = this.addresses.get(endpointId);
@@ -167,6 +179,21 @@
     }
   }
 
+  private usable(service: string): SlotCandidate[] {
+    const nowMs = this.options.nowMs();
+    return this.directory.forService(service, nowMs).map((known) => this.candidateOf(known, nowMs));
+  }
+
+  /** Endpoints beyond reach are for when those in reach have only queues to offer. */
+  private chooseNear(candidates: readonly SlotCandidate[]): SlotCandidate | undefined {
+    const { availabilityZone, isInReach } = this.options;
+    const near = candidates.filter(({ endpointId }) => isInReach(endpointId));
+    const chosen = this.routing.choose(near, availabilityZone);
+    const hasRoom = chosen !== undefined && chosen.online < chosen.slots;
+    if (hasRoom || near.length === candidates.length) return chosen;
+    return this.routing.choose(candidates, availabilityZone);
+  }
+
   private change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
     this.loads.change(endpointId, kind, by);
     this.options.onLoadChange(endpointId);
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -157,6 +157,7 @@
     random: Math.random,
     nowMs,
     isLeaving: () => false,
+    isInReach: () => true,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
   });
@@ -180,7 +181,7 @@
     protocol: PROTOCOL,
     logger: createLogger({ level: 'silent' }),
     nowMs,
-    liveEntries: () => ['entry'],
+    usersOf: () => ['entry'],
   });
 }
 
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -50,8 +50,8 @@
   readonly protocol: EndpointProtocol;
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /** Names of the entries that run batch work, this one included. */
-  readonly liveEntries: () => readonly string[];
+  /** Names of the entries that may run batch work at an endpoint. */
+  readonly usersOf: (endpointId: string) => readonly string[];
 }
 
 /** What is known of the jobs under one quota key. */
@@ -147,7 +147,7 @@
     const nowMs = this.options.nowMs();
     const usable = this.usableFor(route);
     const endpointIds = usable.map(({ endpointId }) => endpointId);
-    this.ownership.update(endpointIds, this.options.liveEntries(), nowMs);
+    this.ownership.update(endpointIds, this.options.usersOf, nowMs);
     const owned = new Set(this.ownership.owned(nowMs));
     const free = new Map<string, number>();
     for (const { endpointId, online, slots } of usable) {
@@ -172,7 +172,7 @@
 
   private usableFor(route: Route): SlotCandidate[] {
     const services = route.targets.filter(({ weight }) => weight > 0);
-    return services.flatMap(({ service }) => this.options.pool.usable(service));
+    return services.flatMap(({ service }) => this.options.pool.usableInReach(service));
   }
 
   private runsAt(endpointId: string): ItemRun[] {
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -1,5 +1,6 @@
 /**
- * Tells the other entries how much work this one has under way at each endpoint.
+ * Tells the entries that share an endpoint with this one how much work this one has under way
+ * there.
  */
 import type { PeerBook } from '@shedline/transport';
 import type { EndpointPool, LoadCount } from './endpoint-pool.js';
@@ -13,6 +14,8 @@
 export interface LoadExchangeOptions {
   readonly entries: PeerBook;
   readonly pool: () => EndpointPool;
+  /** Entries that use an endpoint. */
+  readonly usersOf: (endpointId: string) => readonly string[];
 }
 
 /** Sends load counts. */
@@ -55,7 +58,15 @@
   }
 
   private send(counts: readonly LoadCount[]): void {
-    if (counts.length === 0) return;
-    for (const entry of this.options.entries.ready) entry.send('loads', counts);
+    const byUser = new Map<string, LoadCount[]>();
+    for (const count of counts) {
+      for (const user of this.options.usersOf(count.endpointId)) {
+        const known = byUser.get(user);
+        if (known === undefined) byUser.set(user, [count]);
+        else known.push(count);
+      }
+    }
+    // There is no connection to this entry itself, nor to one that has just gone.
+    for (const [user, own] of byUser) this.options.entries.get(user)?.send('loads', own);
   }
 }
