Tell changes of the list of processes, not the list

Change: a control process tells what changed since the version that a connection has, and the whole list only on a new connection or to one that missed too much; with more than three control processes each hears every second announcement. Figures: property test: any sequence of joins, departures, silences and missed reads gives the reader the register's list. Conclusion: bytes of membership grow with the changes instead of changes times size.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -5,6 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
+import type { Placed } from '@shedline/directory';
 import { chooseService } from '@shedline/fleet';
 import type { CallerLimits, FleetDelta, Route } from '@shedline/fleet';
 import { ProcessCore, portsOf } from '@shedline/fleet-control';
@@ -14,13 +15,14 @@
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
-import { PeerBook } from '@shedline/transport';
+import type { PeerBook } from '@shedline/transport';
 import { EndpointPool } from './endpoint-pool.js';
 import type { LoadCount } from './endpoint-pool.js';
 import { FleetFollower } from './fleet-follower.js';
 import { ItemRunner } from './item-runner.js';
 import { JobDesk } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
+import { ReachKeeper } from './reach-keeper.js';
 
 const SWEEP_INTERVAL_MS = 1000;
 const POLL_MS = 20;
@@ -70,6 +72,7 @@
   private readonly entries: PeerBook;
   private readonly stores: PeerBook;
   private readonly exchange: LoadExchange;
+  private readonly reach: ReachKeeper;
   private readonly runner: ItemRunner;
   private timer: NodeJS.Timeout | undefined;
   private draining = false;
@@ -85,18 +88,19 @@
     this.startedAtMs = this.nowMs();
     this.core = this.createCore();
     const { name } = this.core;
-    const secret = settings.fleetSecret;
-    this.entries = new PeerBook({ name, secret });
-    this.stores = new PeerBook({
-      name,
-      secret,
-      handlers: {
-        onMessage: (method, payload) => {
-          if (method === 'jobEnded') this.runner.jobEnded((payload as JobEndedMessage).jobId);
-        },
+    this.entries = this.core.createPeerBook();
+    this.stores = this.core.createPeerBook({
+      onMessage: (method, payload) => {
+        if (method === 'jobEnded') this.runner.jobEnded((payload as JobEndedMessage).jobId);
       },
     });
-    this.exchange = new LoadExchange({ entries: this.entries, pool: () => this.pool });
+    this.reach = new ReachKeeper({
+      self: name,
+      entries: () => this.servingEntries(),
+      endpoints: () => this.pool.present(),
+    });
+    const usersOf = (endpointId: string): readonly string[] => this.reach.usersOf(endpointId);
+    this.exchange = new LoadExchange({ entries: this.entries, pool: () => this.pool, usersOf });
     this.follower = this.createFollower();
     this.pool = this.createPool();
     this.sender = new EndpointSender({ protocol });
@@ -120,7 +124,7 @@
       protocol,
       logger,
       nowMs: this.nowMs,
-      liveEntries: () => this.batchEntries(),
+      usersOf,
     });
     this.addGauges();
   }
@@ -294,9 +298,11 @@
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
         this.pool.hear(heartbeats);
+        this.refreshReach();
       },
       onLeaving: (endpointIds) => {
         this.pool.markLeaving(endpointIds);
+        this.refreshReach();
       },
     });
   }
@@ -308,6 +314,7 @@
       random: this.random,
       nowMs: this.nowMs,
       isLeaving: (endpointId) => this.follower.fleet.isLeaving(endpointId),
+      isInReach: (endpointId) => this.reach.has(endpointId),
       onLoadChange: (endpointId) => {
         this.exchange.note(endpointId);
       },
@@ -340,22 +347,31 @@
     if (method === 'slotWanted') this.runner.slotWanted(payload as string);
   }
 
-  /** Entries that run batch work: those that take callers, and this one unless it stops. */
-  private batchEntries(): string[] {
-    const ready = this.core.mesh.live('entry').filter((entry) => entry.state === 'ready');
-    const names = new Set(ready.map((entry) => entry.name));
-    if (this.draining) names.delete(this.core.name);
-    else names.add(this.core.name);
-    return [...names].sort();
+  /** Entries that take callers, and this one in any case. */
+  private servingEntries(): Placed[] {
+    const { mesh } = this.core;
+    const { self } = mesh;
+    const ready = mesh.live('entry').filter((entry) => entry.state === 'ready');
+    const others = ready.filter((entry) => entry.name !== self.name);
+    return [...others, self].map(({ name, availabilityZone }) => ({ name, availabilityZone }));
   }
 
   private membersChanged(): void {
-    connect(this.entries, this.core.mesh.live('entry'));
+    this.refreshReach();
     connect(this.stores, this.core.mesh.live('store'));
     if (this.isReady && this.core.mesh.self.state === 'starting') this.core.mesh.setState('ready');
   }
 
+  /** Keeps connections to the entries that share endpoints with this one. */
+  private refreshReach(): void {
+    this.reach.refresh();
+    const peers = new Set(this.reach.peers);
+    const sharing = this.core.mesh.live('entry').filter((entry) => peers.has(entry.name));
+    connect(this.entries, sharing);
+  }
+
   private sweep(): void {
+    this.refreshReach();
     const inUse = this.pool.sweep();
     for (const address of this.sender.addresses) {
       if (!inUse.has(address)) this.sender.forget(address);
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/member-register.ts
@@ -1,5 +1,6 @@
 /**
- * The processes that a control process has heard from lately.
+ * The processes that a control process has heard from lately, and what changed since a reader
+ * last heard of them.
  */
 import type { MemberRecord } from './member-record.js';
 
@@ -7,10 +8,14 @@
 export const MEMBER_LEASE_MS = 1700;
 /** The same for a process whose connection has closed: time to connect again. */
 export const CLOSED_LEASE_MS = 600;
+/** Departures that are remembered for readers; one that lags behind more gets the whole list. */
+const REMEMBERED_DEPARTURES = 256;
 
 interface Heard {
   record: MemberRecord;
   heardAtMs: number;
+  /** Version of the list that this record came with. */
+  version: number;
 }
 
 /** A list of live processes; its version grows with each change. */
@@ -19,11 +24,25 @@
   readonly members: readonly MemberRecord[];
 }
 
+/** What changed in a list of processes. */
+export interface MemberChanges {
+  /** Version of the list that results. */
+  readonly version: number;
+  /** Version that the changes apply to; left out where `changed` is the whole list. */
+  readonly since?: number;
+  readonly changed: readonly MemberRecord[];
+  /** Names of processes that are no longer up. */
+  readonly gone: readonly string[];
+}
+
 /** Records heard directly, with leases. */
 export class MemberRegister {
   private readonly heard = new Map<string, Heard>();
-  private list: MemberList = { version: 0, members: [] };
-  private isDirty = false;
+  /** Version at which each process departed, oldest first. */
+  private readonly departures = new Map<string, number>();
+  private version = 0;
+  /** Readers of an older version cannot be told all departures any more. */
+  private forgottenBefore = 0;
 
   /** Takes what a process says of itself. */
   hear(record: MemberRecord, nowMs: number): void {
@@ -36,8 +55,9 @@
     }
     const isOld = known?.record.epoch === record.epoch && known.record.sequence > record.sequence;
     if (isOld) return;
-    this.heard.set(record.name, { record, heardAtMs: nowMs });
-    this.isDirty = true;
+    this.version += 1;
+    this.heard.set(record.name, { record, heardAtMs: nowMs, version: this.version });
+    this.departures.delete(record.name);
   }
 
   /** Notes that the connection of a process closed: it is gone unless it comes back soon. */
@@ -49,19 +69,48 @@
 
   /** Notes that a process said that it ends. */
   forget(name: string): void {
-    if (this.heard.delete(name)) this.isDirty = true;
+    if (!this.heard.delete(name)) return;
+    this.version += 1;
+    this.departures.set(name, this.version);
+    this.trimDepartures();
   }
 
   /** The processes that are up now. */
   live(nowMs: number): MemberList {
+    this.dropSilent(nowMs);
+    const members = [...this.heard.values()].map(({ record }) => record);
+    return { version: this.version, members };
+  }
+
+  /** What a reader misses that has the list of version `since`; the whole list where it has none. */
+  changesSince(since: number | undefined, nowMs: number): MemberChanges {
+    this.dropSilent(nowMs);
+    const { version } = this;
+    if (since === undefined || since < this.forgottenBefore) {
+      return { version, changed: this.live(nowMs).members, gone: [] };
+    }
+    if (since === version) return { version, since, changed: [], gone: [] };
+    const heard = [...this.heard.values()].filter((one) => one.version > since);
+    const gone = [...this.departures].filter(([, departed]) => departed > since);
+    return {
+      version,
+      since,
+      changed: heard.map(({ record }) => record),
+      gone: gone.map(([name]) => name),
+    };
+  }
+
+  private dropSilent(nowMs: number): void {
     for (const [name, { heardAtMs }] of this.heard) {
       if (nowMs - heardAtMs >= MEMBER_LEASE_MS) this.forget(name);
     }
-    if (this.isDirty) {
-      const members = [...this.heard.values()].map(({ record }) => record);
-      this.list = { version: this.list.version + 1, members };
-      this.isDirty = false;
+  }
+
+  private trimDepartures(): void {
+    for (const [name, departed] of this.departures) {
+      if (this.departures.size <= REMEMBERED_DEPARTURES) return;
+      this.departures.delete(name);
+      this.forgottenBefore = departed;
     }
-    return this.list;
   }
 }
--- a/packages/mesh/src/member-view.ts
+++ b/packages/mesh/src/member-view.ts
@@ -3,12 +3,14 @@
  * is cut off from a process must not make it vanish for all.
  */
 import type { MemberKind, MemberRecord } from './member-record.js';
+import type { MemberChanges } from './member-register.js';
 
 /** Silence of a control process after which its list no longer counts beside fresher ones. */
 const LIST_LEASE_MS = 2600;
 
 interface HeldList {
-  members: readonly MemberRecord[];
+  readonly members: Map<string, MemberRecord>;
+  version: number;
   heardAtMs: number;
 }
 
@@ -16,11 +18,24 @@
 export class MemberView {
   private readonly lists = new Map<string, HeldList>();
 
-  /** Takes the list of a control process, or with undefined only a sign of life of it. */
-  hear(from: string, members: readonly MemberRecord[] | undefined, nowMs: number): void {
+  /**
+   * Takes the list of a control process, or what changed in it. False where the changes are to
+   * a list that is not held here: then the sender has to begin again with the whole.
+   */
+  hear(from: string, changes: MemberChanges, nowMs: number): boolean {
+    const { version, since, changed, gone } = changes;
     const known = this.lists.get(from);
-    if (members !== undefined) this.lists.set(from, { members, heardAtMs: nowMs });
-    else if (known !== undefined) known.heardAtMs = nowMs;
+    if (since === undefined) {
+      const members = new Map(changed.map((record) => [record.name, record]));
+      this.lists.set(from, { members, version, heardAtMs: nowMs });
+      return true;
+    }
+    if (known?.version !== since) return false;
+    for (const name of gone) known.members.delete(name);
+    for (const record of changed) known.members.set(record.name, record);
+    known.version = version;
+    known.heardAtMs = nowMs;
+    return true;
   }
 
   /** Control processes whose lists count now; all of them where none is fresh. */
@@ -39,7 +54,7 @@
   live(kind: MemberKind, nowMs: number): MemberRecord[] {
     const byName = new Map<string, MemberRecord>();
     for (const { members } of this.counting(nowMs)) {
-      for (const record of members) {
+      for (const record of members.values()) {
         if (record.kind !== kind) continue;
         const known = byName.get(record.name);
         if (known === undefined || isNewer(record, known)) byName.set(record.name, record);
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
+import fc from 'fast-check';
 import { describe, title } from '@shedline/test-utils';
 import { CLOSED_LEASE_MS, MEMBER_LEASE_MS, MemberRegister } from './member-register.js';
+import type { MemberChanges } from './member-register.js';
 import { MemberView } from './member-view.js';
 import type { MemberRecord } from './member-record.js';
 
@@ -19,6 +21,11 @@
   };
 }
 
+/** A whole list. */
+function whole(...members: MemberRecord[]): MemberChanges {
+  return { version: 1, changed: members, gone: [] };
+}
+
 describe('member register', () => {
   test(title('lists a process until it is silent for longer than its lease'), (t) => {
     const register = new MemberRegister();
@@ -51,29 +58,85 @@
   });
 });
 
+describe('changes of a list', () => {
+  test(
+    title('make the list of a reader the same as that of the register, whatever it missed'),
+    (t) => {
+      const step = fc.record({
+        name: fc.integer({ min: 1, max: 6 }),
+        leaves: fc.boolean(),
+        gapMs: fc.nat(900),
+        reads: fc.boolean(),
+      });
+      fc.assert(
+        fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+          const register = new MemberRegister();
+          const view = new MemberView();
+          let nowMs = 0;
+          let sequence = 0;
+          let known: number | undefined;
+          for (const { name, leaves, gapMs, reads } of steps) {
+            nowMs += gapMs;
+            sequence += 1;
+            if (leaves) register.forget(`p${name}`);
+            else register.hear(record({ name: `p${name}`, sequence }), nowMs);
+            if (!reads) continue;
+            const changes = register.changesSince(known, nowMs);
+            known = changes.version;
+            if (!view.hear('control', changes, nowMs)) return false;
+            const names = view.live('entry', nowMs).map((one) => `${one.name} ${one.sequence}`);
+            const expected = register.live(nowMs).members;
+            const wanted = expected.map((one) => `${one.name} ${one.sequence}`).sort();
+            if (names.join() !== wanted.join()) return false;
+          }
+          return true;
+        }),
+        { seed: 23, numRuns: 300 },
+      );
+      t.pass();
+    },
+  );
+
+  test(title('begin with the whole list where too many departures were missed'), (t) => {
+    const register = new MemberRegister();
+    for (let number = 0; number < 300; number += 1) {
+      register.hear(record({ name: `p${number}` }), 0);
+      register.forget(`p${number}`);
+    }
+    t.is(register.changesSince(1, 0).since, undefined);
+    t.is(register.changesSince(599, 0).since, 599);
+  });
+
+  test(title('to a list that is not held are not taken'), (t) => {
+    const view = new MemberView();
+    t.false(view.hear('a', { version: 3, since: 2, changed: [record()], gone: [] }, 0));
+    t.is(view.live('entry', 0).length, 0);
+  });
+});
+
 describe('member view', () => {
   test(title('a process that one control process hears is up'), (t) => {
     const view = new MemberView();
-    view.hear('a', [record()], 0);
-    view.hear('b', [], 0);
+    view.hear('a', whole(record()), 0);
+    view.hear('b', whole(), 0);
     t.is(view.live('entry', 100).length, 1);
     t.is(view.live('store', 100).length, 0);
   });
 
   test(title('a list that is not renewed gives way to fresher ones'), (t) => {
     const view = new MemberView();
-    view.hear('a', [record()], 0);
-    view.hear('b', [], 5000);
+    view.hear('a', whole(record()), 0);
+    view.hear('b', whole(), 5000);
     t.is(view.live('entry', 5000).length, 0);
     t.true(view.isFresh(5000));
   });
 
   test(title('without any fresh list the last ones still count'), (t) => {
     const view = new MemberView();
-    view.hear('a', [record()], 0);
+    view.hear('a', whole(record()), 0);
     t.is(view.live('entry', 60_000).length, 1);
     t.false(view.isFresh(60_000));
-    view.hear('a', undefined, 60_000);
+    view.hear('a', { version: 1, since: 1, changed: [], gone: [] }, 60_000);
     t.true(view.isFresh(60_000));
   });
 });
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -7,28 +7,27 @@
 import type { Link, LinkHandlers, PeerAddress } from '@shedline/transport';
 import type { MemberKind, MemberRecord, MemberState } from './member-record.js';
 import { MemberRegister } from './member-register.js';
+import type { MemberChanges } from './member-register.js';
 import { MemberView } from './member-view.js';
 
 /** Time between announcements; several fit into the lease of a member. */
 const ANNOUNCE_INTERVAL_MS = 400;
+/** With more control processes than this, each hears only every second announcement. */
+const CONTROLS_TOLD_AT_ONCE = 3;
 
 /** Message: a process describes itself. */
 const ANNOUNCE = 'member';
 /** Message: a process ends. */
 const LEAVE = 'memberLeaves';
-/** Message: the processes that a control process hears. */
+/** Message: what changed among the processes that a control process hears. */
 const LIST = 'members';
 
-interface ListMessage {
-  readonly version: number;
-  /** Left out where the receiver has this version already. */
-  readonly members?: readonly MemberRecord[];
-}
-
 /** Options of {@link Mesh}. */
 export interface MeshOptions {
   readonly record: Omit<MemberRecord, 'sequence' | 'state'>;
   readonly secret: string;
+  /** Own IP number to connect from; the system chooses where it is left out. */
+  readonly localAddress?: string;
   /** Control processes to ask first. */
   readonly seeds: readonly PeerAddress[];
   readonly logger: Logger;
@@ -53,6 +52,7 @@
   private record: MemberRecord;
   private timer: NodeJS.Timeout | undefined;
   private inTouch = false;
+  private repeats = 0;
 
   constructor(options: MeshOptions) {
     this.options = options;
@@ -61,6 +61,7 @@
     this.controls = new PeerBook({
       name: options.record.name,
       secret: options.secret,
+      ...(options.localAddress === undefined ? {} : { localAddress: options.localAddress }),
       handlers: {
         onRequest: (method, payload, link) => this.onRequest(method, payload, link),
         onMessage: (method, payload, link) => {
@@ -121,7 +122,7 @@
     if (method === ANNOUNCE) {
       this.links.add(link);
       this.register.hear(payload as MemberRecord, nowMs);
-      this.sendList(link);
+      this.sendChanges(link);
       return true;
     }
     if (method === LEAVE) {
@@ -129,7 +130,7 @@
       return true;
     }
     if (method === LIST) {
-      this.takeList(payload as ListMessage, link);
+      this.takeChanges(payload as MemberChanges, link);
       return true;
     }
     return false;
@@ -146,7 +147,7 @@
   }
 
   private tick(): void {
-    this.announce();
+    this.repeat();
     if (this.record.kind === 'control') this.sendLists();
     this.updateControls();
     this.noteTouch();
@@ -157,11 +158,24 @@
     if (this.record.kind === 'control') {
       const nowMs = this.options.nowMs();
       this.register.hear(this.record, nowMs);
-      this.view.hear(this.record.name, this.register.live(nowMs).members, nowMs);
+      this.view.hear(this.record.name, this.register.changesSince(undefined, nowMs), nowMs);
     }
     for (const control of this.controls.ready) control.send(ANNOUNCE, this.record);
   }
 
+  /** A sign of life that tells nothing new; where there are many to tell, by turns. */
+  private repeat(): void {
+    const { ready } = this.controls;
+    if (ready.length <= CONTROLS_TOLD_AT_ONCE || this.record.kind === 'control') {
+      this.announce();
+      return;
+    }
+    this.repeats += 1;
+    for (const [index, control] of ready.entries()) {
+      if ((index + this.repeats) % 2 === 0) control.send(ANNOUNCE, this.record);
+    }
+  }
+
   private announceTo(name: string): void {
     this.controls.get(name)?.send(ANNOUNCE, this.record);
   }
@@ -183,28 +197,39 @@
     this.controls.keepOnly(new Set(wanted.keys()));
   }
 
+  /** Tells the connected processes what changed, and notes connections that closed. */
   private sendLists(): void {
+    const nowMs = this.options.nowMs();
     for (const link of this.links) {
       if (link.isReady) {
-        this.sendList(link);
+        const { version } = this.register.live(nowMs);
+        if (this.sentVersions.get(link) !== version) this.sendChanges(link);
         continue;
       }
       this.links.delete(link);
       const isBack = [...this.links].some((other) => other.peerName === link.peerName);
-      if (!isBack) this.register.connectionClosed(link.peerName, this.options.nowMs());
+      if (!isBack) this.register.connectionClosed(link.peerName, nowMs);
     }
   }
 
-  private sendList(link: Link): void {
-    const { version, members } = this.register.live(this.options.nowMs());
-    const isKnown = this.sentVersions.get(link) === version;
-    link.send(LIST, { version, ...(isKnown ? {} : { members }) });
-    this.sentVersions.set(link, version);
+  private sendChanges(link: Link): void {
+    const changes = this.register.changesSince(this.sentVersions.get(link), this.options.nowMs());
+    link.send(LIST, changes);
+    this.sentVersions.set(link, changes.version);
   }
 
-  private takeList(message: ListMessage, link: Link): void {
-    this.view.hear(link.peerName, message.members, this.options.nowMs());
-    if (message.members === undefined) return;
+  private takeChanges(changes: MemberChanges, link: Link): void {
+    if (!this.view.hear(link.peerName, changes, this.options.nowMs())) {
+      this.options.logger.info('list of processes does not fit, asks for the whole', {
+        step: 'join',
+        peer: link.peerName,
+        version: changes.version,
+      });
+      // The next connection begins with the whole list.
+      link.terminate();
+      return;
+    }
+    if (changes.changed.length === 0 && changes.gone.length === 0) return;
     this.updateControls();
     this.options.onChange?.();
   }
