A fault soak: the real programs as separate processes, struck from outside

Change: package soak (plan of faults from a seed, ledger of promises, relays, processes, load, report), the platform's form for it in platform/soak-wire, and a command. Processes may listen on another address than the one they are known by (listenHost), so that a relay can stand between; a process makes its peer books in one place.

--- a/packages/config/src/fleet-schema.ts
+++ b/packages/config/src/fleet-schema.ts
@@ -29,6 +29,10 @@
   instance: z.string().min(1).describe('Name of the instance, for operators.'),
   availabilityZone: z.string().min(1).describe('Availability zone of the instance.'),
   host: z.string().min(1).describe('IP number that the other processes reach the instance at.'),
+  listenHost: z
+    .string()
+    .optional()
+    .describe('IP number of the process itself, where a relay or translation stands before host.'),
   firstPeerPort: z
     .number()
     .int()
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -21,7 +21,7 @@
 } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
-import { PeerBook } from '@shedline/transport';
+import type { PeerBook } from '@shedline/transport';
 import { FleetGroup, FLEET_GROUP } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { portsOf } from './peer-ports.js';
@@ -89,7 +89,7 @@
         },
       },
     });
-    this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
+    this.stores = this.core.createPeerBook();
     this.register = new EndpointRegister(this.core.epoch);
     this.machine = new FleetGroup(() => {
       this.pushSoon();
--- a/packages/fleet-control/src/process-core.ts
+++ b/packages/fleet-control/src/process-core.ts
@@ -6,8 +6,8 @@
 import type { Logger } from '@shedline/logger';
 import { Mesh } from '@shedline/mesh';
 import type { MemberKind, MemberRecord } from '@shedline/mesh';
-import { PeerServer } from '@shedline/transport';
-import type { Link, LinkHandlers } from '@shedline/transport';
+import { PeerBook, PeerServer } from '@shedline/transport';
+import type { Link, LinkHandlers, PeerBookOptions } from '@shedline/transport';
 import { peerAddressOf, seedAddresses } from './ports.js';
 
 const EPOCH_BYTES = 6;
@@ -32,12 +32,18 @@
   readonly mesh: Mesh;
   readonly server: PeerServer;
   private readonly options: ProcessCoreOptions;
+  private readonly peerOptions: Pick<PeerBookOptions, 'secret' | 'localAddress'>;
 
   constructor(options: ProcessCoreOptions) {
     const { kind, settings, logger, nowMs, handlers } = options;
     this.options = options;
     const own = peerAddressOf(kind, settings.host, settings.firstPeerPort);
     this.name = own.name;
+    const { listenHost } = settings;
+    this.peerOptions = {
+      secret: settings.fleetSecret,
+      ...(listenHost === undefined ? {} : { localAddress: listenHost }),
+    };
     this.mesh = new Mesh({
       record: {
         name: own.name,
@@ -49,7 +55,7 @@
         epoch: this.epoch,
         ...options.record,
       },
-      secret: settings.fleetSecret,
+      ...this.peerOptions,
       seeds: seedAddresses(settings.seeds, settings.firstPeerPort),
       logger,
       nowMs,
@@ -71,7 +77,16 @@
   /** Listens for peers; {@link start} makes the process known. */
   async listen(): Promise<void> {
     const { host, port } = this.mesh.self;
-    await this.server.listen(host, port);
+    await this.server.listen(this.options.settings.listenHost ?? host, port);
+  }
+
+  /** Connections of this process to some of its peers. */
+  createPeerBook(handlers?: Partial<LinkHandlers>): PeerBook {
+    return new PeerBook({
+      name: this.name,
+      ...this.peerOptions,
+      ...(handlers === undefined ? {} : { handlers }),
+    });
   }
 
   /** Announces the process. */
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -10,8 +10,7 @@
 import type { FleetDelta } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
-import { PeerBook } from '@shedline/transport';
-import type { PeerClient } from '@shedline/transport';
+import type { PeerBook, PeerClient } from '@shedline/transport';
 import type { WholeJobCommand } from '@shedline/whole-jobs';
 import { WholeJobGroup } from './machines.js';
 import { groupSettings } from './group-settings.js';
@@ -78,7 +77,7 @@
         this.connectStores();
       },
     });
-    this.stores = new PeerBook({ name: this.core.name, secret: this.settings.fleetSecret });
+    this.stores = this.core.createPeerBook();
     this.requests = new JobRequests({ name: this.core.name, nowMs: this.nowMs });
     this.random = options.random ?? Math.random;
     this.groups = this.createGroups();
--- /dev/null
+++ b/packages/soak/src/fault-plan.ts
@@ -0,0 +1,199 @@
+/**
+ * Plans the faults of one run from its seed: several kinds, overlapping, but never more lost
+ * disks at once than the fleet is set up to bear.
+ */
+import { pick, seededRandom } from '@shedline/test-utils';
+import type { RandomSource } from '@shedline/test-utils';
+
+/** Roles of the processes. */
+export type Role = 'control' | 'store' | 'entry';
+
+/** A process that faults may strike. */
+export interface Target {
+  readonly name: string;
+  readonly role: Role;
+}
+
+/** What is done from outside a process. */
+export type FaultKind =
+  /** SIGKILL, started again later. */
+  | 'kill'
+  /** SIGTERM, started again once it has ended. */
+  | 'stop'
+  /** SIGSTOP and SIGCONT. */
+  | 'pause'
+  /** SIGHUP. */
+  | 'reload'
+  /** No byte passes to or from the peers; connections stay open. */
+  | 'silence'
+  /** Bytes to the process stop, those from it pass. */
+  | 'silenceIn'
+  /** Bytes pass late. */
+  | 'delay'
+  /** All connections to the process are reset. */
+  | 'reset'
+  /** SIGKILL; it comes back with an empty disk. */
+  | 'wipe'
+  /** SIGKILL; rubbish is appended to its newest log file, as by a write that was torn. */
+  | 'tornTail'
+  /** SIGKILL of every process. */
+  | 'killAll'
+  /** An endpoint breaks all connections and comes back as another run. */
+  | 'endpointCrash'
+  /** An endpoint answers nothing. */
+  | 'endpointHang'
+  /** An endpoint says that it leaves, serves on for a while, and is replaced. */
+  | 'endpointLeave';
+
+/** One fault. */
+export interface Fault {
+  readonly kind: FaultKind;
+  /** Process or endpoint; empty where all are struck. */
+  readonly target: string;
+  readonly atMs: number;
+  /** Until it is lifted. */
+  readonly forMs: number;
+}
+
+/** Options of {@link planFaults}. */
+export interface FaultPlanOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly targets: readonly Target[];
+  readonly endpoints: readonly string[];
+  /** Processes with a disk that may be out at once. */
+  readonly toleratedLosses: number;
+}
+
+/** Faults that cut nothing if the programs keep their word. */
+const PLANNED: ReadonlySet<FaultKind> = new Set(['stop', 'reload', 'endpointLeave']);
+const DISK_KINDS: readonly FaultKind[] = [
+  'kill',
+  'stop',
+  'pause',
+  'silence',
+  'silenceIn',
+  'delay',
+  'reset',
+  'wipe',
+  'tornTail',
+  'reload',
+];
+const ENTRY_KINDS: readonly FaultKind[] = [
+  'kill',
+  'stop',
+  'pause',
+  'silence',
+  'silenceIn',
+  'delay',
+  'reset',
+  'reload',
+];
+const ENDPOINT_KINDS: readonly FaultKind[] = ['endpointCrash', 'endpointHang', 'endpointLeave'];
+/** Time after a fault in which a process still catches up, and counts as out. */
+export const CATCH_UP_MS = 5000;
+/** Longest pause between two faults; many overlap. */
+const MAX_GAP_MS = 1500;
+const FIRST_FAULT_MS = 1000;
+const MIN_FAULT_MS = 300;
+const MAX_FAULT_MS = 4000;
+const KILL_ALL_SHARE = 0.04;
+const ENDPOINT_SHARE = 0.25;
+const SERIES_SHARE = 0.2;
+/** Pause between the steps of a series on the same target. */
+const SERIES_GAP_MS = 400;
+
+/** Whether a fault is work that operators plan. */
+export function isPlanned(fault: Fault): boolean {
+  return PLANNED.has(fault.kind);
+}
+
+/** Whether no unplanned fault was in force, or had just been, in a span of time. */
+export function isCalm(faults: readonly Fault[], fromMs: number, untilMs: number): boolean {
+  return faults.every(
+    (fault) =>
+      isPlanned(fault) || fault.atMs >= untilMs || fault.atMs + fault.forMs + CATCH_UP_MS <= fromMs,
+  );
+}
+
+/** The faults of a seed, in order of time. */
+export function planFaults(options: FaultPlanOptions): Fault[] {
+  return new FaultPlanner(options).plan();
+}
+
+class FaultPlanner {
+  private readonly options: FaultPlanOptions;
+  private readonly random: RandomSource;
+  private readonly faults: Fault[] = [];
+
+  constructor(options: FaultPlanOptions) {
+    this.options = options;
+    this.random = seededRandom(options.seed);
+  }
+
+  plan(): Fault[] {
+    let atMs = FIRST_FAULT_MS;
+    while (atMs < this.options.durationMs) {
+      for (const fault of this.draw(Math.round(atMs))) {
+        if (this.isBearable(fault)) this.faults.push(fault);
+      }
+      atMs += this.random() * MAX_GAP_MS;
+    }
+    return this.faults.sort((a, b) => a.atMs - b.atMs);
+  }
+
+  /** One fault, or a series of the same on one target. */
+  private draw(atMs: number): Fault[] {
+    const fault = this.drawOne(atMs);
+    if (this.random() >= SERIES_SHARE || fault.kind === 'killAll') return [fault];
+    const again = fault.atMs + fault.forMs + SERIES_GAP_MS;
+    return [fault, { ...fault, atMs: Math.round(again) }];
+  }
+
+  private drawOne(atMs: number): Fault {
+    const forMs = Math.round(MIN_FAULT_MS + this.random() * (MAX_FAULT_MS - MIN_FAULT_MS));
+    const chance = this.random();
+    if (chance < KILL_ALL_SHARE) return { kind: 'killAll', target: '', atMs, forMs: MIN_FAULT_MS };
+    if (chance < KILL_ALL_SHARE + ENDPOINT_SHARE) {
+      const target = pick(this.random, this.options.endpoints);
+      return { kind: pick(this.random, ENDPOINT_KINDS), target, atMs, forMs };
+    }
+    const { name, role } = pick(this.random, this.options.targets);
+    const kinds = role === 'entry' ? ENTRY_KINDS : DISK_KINDS;
+    return { kind: pick(this.random, kinds), target: name, atMs, forMs };
+  }
+
+  private isBearable(fault: Fault): boolean {
+    const overlapping = this.faults.filter((other) => overlaps(fault, other));
+    if (overlapping.some((other) => other.target === fault.target && fault.target !== '')) {
+      return false;
+    }
+    if (fault.kind === 'killAll') return !overlapping.some(({ kind }) => kind === 'wipe');
+    if (fault.kind === 'wipe' && overlapping.some(({ kind }) => kind === 'killAll')) return false;
+    const lost = overlapping.filter((other) => this.hasDisk(other.target));
+    const isLoss = this.hasDisk(fault.target) && fault.kind !== 'reload';
+    if (isLoss && lost.length >= this.options.toleratedLosses) return false;
+    return !this.isLastOfItsKind(fault, overlapping);
+  }
+
+  private hasDisk(name: string): boolean {
+    const target = this.options.targets.find((candidate) => candidate.name === name);
+    return target !== undefined && target.role !== 'entry';
+  }
+
+  /** One entry and one endpoint stay untouched at any time. */
+  private isLastOfItsKind(fault: Fault, overlapping: readonly Fault[]): boolean {
+    const entries = this.options.targets.filter(({ role }) => role === 'entry');
+    const peers = [entries.map(({ name }) => name), this.options.endpoints];
+    return peers.some((names) => {
+      if (!names.includes(fault.target)) return false;
+      const struck = new Set(overlapping.map(({ target }) => target));
+      return names.filter((name) => !struck.has(name)).length <= 1;
+    });
+  }
+}
+
+function overlaps(one: Fault, other: Fault): boolean {
+  const endOf = ({ atMs, forMs }: Fault): number => atMs + forMs + CATCH_UP_MS;
+  return one.atMs < endOf(other) && other.atMs < endOf(one);
+}
--- /dev/null
+++ b/packages/soak/src/fleet-wire.ts
@@ -0,0 +1,74 @@
+/**
+ * What the soak needs of the form in which a fleet is spoken to; whoever knows that form
+ * implements it.
+ */
+import type { Role } from './fault-plan.js';
+import type { ListedResult, RequestEnd, RequestKind } from './ledger.js';
+import type { Place, SettingsOptions } from './process-set.js';
+
+/** A request of a caller. */
+export interface SoakRequest {
+  readonly requestId: string;
+  readonly kind: RequestKind;
+  readonly timeoutMs: number;
+}
+
+/** A job of a caller. */
+export interface SoakJob {
+  readonly jobId: string;
+  readonly itemIds: readonly string[];
+}
+
+/** Answer to a job that was handed in. */
+export type JobAnswer = 'accepted' | 'refused' | 'unclear';
+
+/** Results read; `unknown` where there is no such job, undefined where nobody could tell. */
+export type ReadAnswer =
+  { readonly total: number; readonly results: readonly ListedResult[] } | 'unknown' | undefined;
+
+/** An endpoint that the soak plays. */
+export interface SoakEndpoint {
+  readonly endpointId: string;
+  /** `host:port`. */
+  readonly address: string;
+  /** While it hangs it answers nothing. */
+  setHanging(isHanging: boolean): void;
+  /** Breaks all connections and takes no more. */
+  crash(): Promise<void>;
+}
+
+/** Options of an endpoint. */
+export interface SoakEndpointOptions {
+  readonly endpointId: string;
+  readonly host: string;
+  readonly port: number;
+  /** Told when it begins to run a request. */
+  readonly onRun: (requestId: string) => void;
+}
+
+/** The form in which a fleet is spoken to. */
+export interface FleetWire {
+  readonly settingsVariable: string;
+  programOf(role: Role): string;
+  settingsOf(place: Place, options: SettingsOptions & { readonly seeds: readonly Place[] }): object;
+  /** A connection of a caller that is kept over its requests. */
+  openCaller(entry: Place): SoakCaller;
+  submitJob(entry: Place, job: SoakJob): Promise<JobAnswer>;
+  readResults(entry: Place, jobId: string, position: number): Promise<ReadAnswer>;
+  endJob(entry: Place, jobId: string): Promise<boolean>;
+  /** True where it was acknowledged. `variant` makes other content of the same version. */
+  putConfiguration(control: Place, version: number, variant: number): Promise<boolean>;
+  /** Undefined where the process could not be sure. */
+  readConfiguration(
+    control: Place,
+  ): Promise<{ readonly version: number; readonly content: string } | undefined>;
+  /** True where it was acknowledged. */
+  heartbeat(control: Place, endpoint: SoakEndpoint, isLeaving: boolean): Promise<boolean>;
+  startEndpoint(options: SoakEndpointOptions): Promise<SoakEndpoint>;
+}
+
+/** A caller with its kept connection. */
+export interface SoakCaller {
+  send(request: SoakRequest): Promise<RequestEnd>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/soak/src/soak-run.ts
@@ -0,0 +1,366 @@
+/**
+ * One run: starts a fleet, loads it, strikes it as planned, lifts everything and looks whether
+ * all promises were kept.
+ */
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { match } from 'ts-pattern';
+import { isCalm, planFaults } from './fault-plan.js';
+import type { Fault, Role } from './fault-plan.js';
+import type { FleetWire, SoakEndpoint } from './fleet-wire.js';
+import { Ledger } from './ledger.js';
+import type { Break } from './ledger.js';
+import { ProcessSet } from './process-set.js';
+import type { Place } from './process-set.js';
+import { Relay, UNHARMED } from './relay.js';
+import type { Harm } from './relay.js';
+import { Heartbeats, SoakLoad } from './soak-load.js';
+
+const DELAY_MS = 120;
+/** Time that a fleet may take from power to its first configuration. */
+const FORM_WITHIN_MS = 20_000;
+/** Time after the last fault in which everything must come right. */
+const SETTLE_WITHIN_MS = 25_000;
+const SETTLE_POLL_MS = 300;
+/** Load before the first fault. */
+const WARM_UP_MS = 1500;
+/** Time that a leaving endpoint still serves. */
+const LEAVE_SERVES_MS = 3500;
+const ENDPOINT_PORT = 8080;
+/** Endpoints live above the processes and their relays. */
+const FIRST_ENDPOINT_HOST = 200;
+const PROCESS_HOST_OFFSET = 100;
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Folder for this run's data and logs. */
+  readonly folder: string;
+  readonly wire: FleetWire;
+  readonly counts?: Readonly<Record<Role | 'endpoint', number>>;
+  /** Peer ports that relays stand before. */
+  readonly peerPortOf: (role: Role) => number;
+}
+
+/** Outcome of a run. */
+export interface SoakOutcome {
+  readonly seed: number;
+  readonly faults: readonly Fault[];
+  readonly breaks: readonly Break[];
+  readonly counts: Readonly<Record<string, number>>;
+  readonly tookMs: number;
+}
+
+const DEFAULT_COUNTS = { control: 3, store: 3, entry: 3, endpoint: 4 };
+
+/** Plays one seed. */
+export async function runSoak(options: SoakOptions): Promise<SoakOutcome> {
+  const run = new SoakRun(options);
+  try {
+    return await run.play();
+  } finally {
+    await run.close();
+  }
+}
+
+class SoakRun {
+  private readonly options: SoakOptions;
+  private readonly wire: FleetWire;
+  private readonly places: readonly Place[];
+  private readonly processes: ProcessSet;
+  private readonly relays = new Map<string, Relay>();
+  /** Harm by process host, on the way in and on the way out. */
+  private readonly harmIn = new Map<string, Harm>();
+  private readonly harmOut = new Map<string, Harm>();
+  private readonly endpoints = new Map<string, SoakEndpoint>();
+  private readonly heartbeats: Heartbeats;
+  private readonly ledger: Ledger;
+  private readonly load: SoakLoad;
+  private readonly faults: readonly Fault[];
+  private readonly endpointNames: readonly string[];
+  private readonly unusable = new Set<string>();
+  private readonly startedAtMs = performance.now();
+  /** Moment that the plan counts from, on the clock of this run. */
+  private planZeroMs = Infinity;
+  private endpointRuns = 0;
+
+  constructor(options: SoakOptions) {
+    this.options = options;
+    this.wire = options.wire;
+    const counts = options.counts ?? DEFAULT_COUNTS;
+    this.places = placesOf(options.seed, counts);
+    this.endpointNames = Array.from({ length: counts.endpoint }, (_, n) => `endpoint-${n + 1}`);
+    const { seed, durationMs } = options;
+    this.faults = planFaults({
+      seed,
+      durationMs,
+      targets: this.places,
+      endpoints: this.endpointNames,
+      toleratedLosses: 1,
+    });
+    this.processes = this.createProcesses();
+    this.heartbeats = new Heartbeats(this.wire, this.ofRole('control'));
+    this.ledger = new Ledger({ isCalm: (fromMs, untilMs) => this.isCalm(fromMs, untilMs) });
+    this.load = new SoakLoad({
+      seed,
+      wire: this.wire,
+      ledger: this.ledger,
+      entries: this.ofRole('entry'),
+      controls: this.ofRole('control'),
+      nowMs: () => this.nowMs(),
+      usableEntries: () => this.usableEntries(),
+    });
+  }
+
+  async play(): Promise<SoakOutcome> {
+    await this.startFleet(this.endpointNames);
+    this.load.start();
+    await pause(WARM_UP_MS);
+    this.planZeroMs = this.nowMs();
+    await Promise.all(this.faults.map((fault) => this.strike(fault)));
+    await this.settle();
+    await this.load.stop();
+    await this.check();
+    const breaks = this.ledger.finish(this.nowMs());
+    const outcome = {
+      seed: this.options.seed,
+      faults: this.faults,
+      breaks,
+      counts: Object.fromEntries(this.ledger.counts),
+      tookMs: Math.round(this.nowMs()),
+    };
+    await writeFile(join(this.options.folder, 'outcome.json'), JSON.stringify(outcome, null, 2));
+    return outcome;
+  }
+
+  async close(): Promise<void> {
+    this.heartbeats.stop();
+    await this.processes.close();
+    await Promise.all([...this.relays.values()].map((relay) => relay.close()));
+    await Promise.all([...this.endpoints.values()].map((endpoint) => endpoint.crash()));
+  }
+
+  private nowMs(): number {
+    return performance.now() - this.startedAtMs;
+  }
+
+  private isCalm(fromMs: number, untilMs: number): boolean {
+    return isCalm(this.faults, fromMs - this.planZeroMs, untilMs - this.planZeroMs);
+  }
+
+  private ofRole(role: Role): Place[] {
+    return this.places.filter((place) => place.role === role);
+  }
+
+  private usableEntries(): Place[] {
+    return this.ofRole('entry').filter(({ name }) => !this.unusable.has(name));
+  }
+
+  private createProcesses(): ProcessSet {
+    const { wire, folder } = this.options;
+    const seeds = this.ofRole('control');
+    return new ProcessSet({
+      folder,
+      places: this.places,
+      programOf: (role) => wire.programOf(role),
+      settingsVariable: wire.settingsVariable,
+      settingsOf: (place, settings) => wire.settingsOf(place, { ...settings, seeds }),
+    });
+  }
+
+  private async startFleet(endpoints: readonly string[]): Promise<void> {
+    await mkdir(this.options.folder, { recursive: true });
+    for (const place of this.places) await this.startRelay(place);
+    for (const { name } of this.places) await this.processes.start(name, { isFounding: true });
+    for (const name of endpoints) await this.startEndpoint(name);
+    this.heartbeats.start();
+    const formed = await Promise.race([
+      this.load.configure().then(() => true),
+      pause(FORM_WITHIN_MS, false),
+    ]);
+    if (!formed) throw new Error(`seed ${this.options.seed}: the fleet did not form`);
+    await this.untilServed(this.ofRole('entry'), FORM_WITHIN_MS);
+  }
+
+  private async startRelay(place: Place): Promise<void> {
+    const { host, processHost, role, name } = place;
+    const port = this.options.peerPortOf(role);
+    const relay = new Relay({ host, processHost, port }, (from, to) => this.harm(from, to));
+    await relay.listen();
+    this.relays.set(name, relay);
+  }
+
+  private harm(from: string, to: string): Harm {
+    const harms = [this.harmOut.get(from) ?? UNHARMED, this.harmIn.get(to) ?? UNHARMED];
+    return {
+      isStopped: harms.some(({ isStopped }) => isStopped),
+      delayMs: Math.max(...harms.map(({ delayMs }) => delayMs)),
+    };
+  }
+
+  private async startEndpoint(name: string): Promise<void> {
+    this.endpointRuns += 1;
+    const number = Number(name.split('-')[1]);
+    const endpointId = `${name}-run-${this.endpointRuns}`;
+    const endpoint = await this.wire.startEndpoint({
+      endpointId,
+      host: `${networkOf(this.options.seed)}.${FIRST_ENDPOINT_HOST + number}`,
+      port: ENDPOINT_PORT,
+      onRun: (requestId) => {
+        this.ledger.ran(requestId, endpointId, this.nowMs());
+      },
+    });
+    this.endpoints.set(name, endpoint);
+    this.heartbeats.add(endpoint);
+  }
+
+  /** Does one fault, and undoes it. */
+  private async strike(fault: Fault): Promise<void> {
+    await pause(Math.max(0, this.planZeroMs + fault.atMs - this.nowMs()));
+    const { kind, target, forMs } = fault;
+    await match(kind)
+      .with('kill', () => this.down(target, forMs, () => Promise.resolve()))
+      .with('wipe', () => this.down(target, forMs, () => this.processes.wipe(target)))
+      .with('tornTail', () => this.down(target, forMs, () => this.processes.tear(target)))
+      .with('stop', () => this.stop(target))
+      .with('pause', () => this.pauseProcess(target, forMs))
+      .with('reload', () => {
+        this.processes.signal(target, 'SIGHUP');
+      })
+      .with('silence', () => this.harmFor(target, forMs, { isStopped: true, delayMs: 0 }, true))
+      .with('silenceIn', () => this.harmFor(target, forMs, { isStopped: true, delayMs: 0 }, false))
+      .with('delay', () =>
+        this.harmFor(target, forMs, { isStopped: false, delayMs: DELAY_MS }, true),
+      )
+      .with('reset', () => this.relays.get(target)?.reset())
+      .with('killAll', () => this.killAll(forMs))
+      .with('endpointCrash', () => this.crashEndpoint(target, forMs))
+      .with('endpointHang', () => this.hangEndpoint(target, forMs))
+      .with('endpointLeave', () => this.leaveEndpoint(target))
+      .exhaustive();
+  }
+
+  private async down(name: string, forMs: number, between: () => Promise<void>): Promise<void> {
+    this.unusable.add(name);
+    await this.processes.end(name, 'SIGKILL');
+    await between();
+    await pause(forMs);
+    await this.processes.start(name);
+    this.unusable.delete(name);
+  }
+
+  /** Callers that have a connection go on using it until the process is gone. */
+  private async stop(name: string): Promise<void> {
+    this.unusable.add(name);
+    await this.processes.end(name, 'SIGTERM');
+    await this.processes.start(name);
+    this.unusable.delete(name);
+  }
+
+  private async pauseProcess(name: string, forMs: number): Promise<void> {
+    this.processes.signal(name, 'SIGSTOP');
+    await pause(forMs);
+    this.processes.signal(name, 'SIGCONT');
+  }
+
+  private async harmFor(name: string, forMs: number, harm: Harm, both: boolean): Promise<void> {
+    const host = this.places.find((place) => place.name === name)?.processHost ?? '';
+    this.harmIn.set(host, harm);
+    if (both) this.harmOut.set(host, harm);
+    await pause(forMs);
+    this.harmIn.delete(host);
+    this.harmOut.delete(host);
+  }
+
+  private async killAll(forMs: number): Promise<void> {
+    const names = this.places.map(({ name }) => name).filter((n) => this.processes.isRunning(n));
+    await Promise.all(names.map((name) => this.processes.end(name, 'SIGKILL')));
+    await pause(forMs);
+    for (const name of names) {
+      if (!this.processes.isRunning(name)) await this.processes.start(name);
+    }
+  }
+
+  private async crashEndpoint(name: string, forMs: number): Promise<void> {
+    const endpoint = this.endpoints.get(name);
+    if (endpoint === undefined) return;
+    this.heartbeats.remove(endpoint.endpointId);
+    await endpoint.crash();
+    await pause(forMs);
+    await this.startEndpoint(name);
+  }
+
+  private async hangEndpoint(name: string, forMs: number): Promise<void> {
+    const endpoint = this.endpoints.get(name);
+    endpoint?.setHanging(true);
+    await pause(forMs);
+    endpoint?.setHanging(false);
+  }
+
+  private async leaveEndpoint(name: string): Promise<void> {
+    const endpoint = this.endpoints.get(name);
+    if (endpoint === undefined) return;
+    this.heartbeats.remove(endpoint.endpointId);
+    const isAcknowledged = await this.heartbeats.beat(endpoint, true);
+    if (isAcknowledged) this.ledger.left(endpoint.endpointId, this.nowMs());
+    await pause(LEAVE_SERVES_MS);
+    await endpoint.crash();
+    await this.startEndpoint(name);
+  }
+
+  /** Waits until everything that was accepted is done and every entry serves. */
+  private async settle(): Promise<void> {
+    const untilMs = this.nowMs() + SETTLE_WITHIN_MS;
+    await this.untilServed(this.ofRole('entry'), SETTLE_WITHIN_MS);
+    while (this.ledger.openJobs().length > 0 && this.nowMs() < untilMs) await pause(SETTLE_POLL_MS);
+  }
+
+  private async untilServed(entries: readonly Place[], withinMs: number): Promise<void> {
+    const untilMs = this.nowMs() + withinMs;
+    for (const entry of entries) {
+      while (!(await this.load.probe(entry))) {
+        if (this.nowMs() > untilMs) {
+          this.ledger.broken('service comes back', this.nowMs(), `${entry.name} serves nothing`);
+          return;
+        }
+        await pause(SETTLE_POLL_MS);
+      }
+    }
+  }
+
+  /** Reads back what was acknowledged, at every process. */
+  private async check(): Promise<void> {
+    for (const end of this.processes.ownEnds) {
+      this.ledger.broken('no process ends by itself', this.nowMs(), end);
+    }
+    for (const control of this.ofRole('control')) {
+      if (!(await this.load.readConfiguration(control))) {
+        this.ledger.broken('configurations are readable', this.nowMs(), control.name);
+      }
+    }
+    for (const jobId of this.ledger.acceptedJobs) {
+      for (const entry of this.ofRole('entry')) await this.load.readJob(entry, jobId);
+    }
+  }
+}
+
+/** A loopback network of its own for each seed. */
+function networkOf(seed: number): string {
+  return `127.${1 + (seed % 250)}.${1 + (Math.floor(seed / 250) % 250)}`;
+}
+
+function placesOf(seed: number, counts: Readonly<Record<Role, number>>): Place[] {
+  const network = networkOf(seed);
+  const roles: Role[] = ['control', 'store', 'entry'];
+  const names = roles.flatMap((role) =>
+    Array.from({ length: counts[role] }, (_, index) => ({ role, name: `${role}-${index + 1}` })),
+  );
+  return names.map(({ role, name }, index) => ({
+    name,
+    role,
+    host: `${network}.${index + 1}`,
+    processHost: `${network}.${index + 1 + PROCESS_HOST_OFFSET}`,
+  }));
+}
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -11,7 +11,7 @@
 /** Unsent bytes at which one-way messages are dropped; the senders repeat what matters. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 3000;
-/** Time between pings. */
+/** Silence after which a peer is asked for a sign of life. */
 const PING_INTERVAL_MS = 700;
 /** Silence after which a peer counts as gone; a host without power closes no connection. */
 const SILENCE_LIMIT_MS = 2500;
@@ -73,6 +73,9 @@
       this.lastHeardMs = performance.now();
       this.onData(data);
     });
+    this.socket.on('ping', () => {
+      this.lastHeardMs = performance.now();
+    });
     this.socket.on('pong', () => {
       this.lastHeardMs = performance.now();
     });
@@ -213,10 +216,13 @@
 
   /** Cuts a connection that has been silent for too long; a ping asks for a sign of life. */
   private checkSilence(): void {
-    if (performance.now() - this.lastHeardMs > SILENCE_LIMIT_MS) {
+    const silentMs = performance.now() - this.lastHeardMs;
+    if (silentMs > SILENCE_LIMIT_MS) {
       this.socket.terminate();
       return;
     }
+    // What the peer itself asked or sent in the meantime is sign enough.
+    if (silentMs < PING_INTERVAL_MS / 2) return;
     if (this.socket.readyState === this.socket.OPEN) this.socket.ping();
   }
 
--- a/packages/transport/src/peer-book.ts
+++ b/packages/transport/src/peer-book.ts
@@ -16,6 +16,8 @@
   /** Name of this process. */
   readonly name: string;
   readonly secret: string;
+  /** Own IP number to connect from; the system chooses where it is left out. */
+  readonly localAddress?: string;
   readonly handlers?: Partial<LinkHandlers>;
   /** Called with the name of a peer whenever a connection to it has been proven. */
   readonly onReady?: (peerName: string) => void;
@@ -50,12 +52,13 @@
   add(address: PeerAddress): void {
     if (this.closed || address.name === this.options.name) return;
     if (this.clients.has(address.name)) return;
-    const { name, secret, handlers, onReady } = this.options;
+    const { name, secret, localAddress, handlers, onReady } = this.options;
     const client = new PeerClient({
       name,
       secret,
       peerName: address.name,
       url: `ws://${address.host}:${address.port}`,
+      ...(localAddress === undefined ? {} : { localAddress }),
       ...(handlers === undefined ? {} : { handlers }),
       onReady: () => onReady?.(address.name),
     });
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -19,6 +19,8 @@
   readonly peerName: string;
   readonly url: string;
   readonly secret: string;
+  /** Own IP number to connect from; the system chooses where it is left out. */
+  readonly localAddress?: string;
   readonly handlers?: Partial<LinkHandlers>;
   readonly onReady?: () => void;
 }
@@ -79,7 +81,11 @@
 
   private open(): void {
     if (this.closed) return;
-    const socket = new WebSocket(this.options.url, { handshakeTimeout: CONNECT_TIMEOUT_MS });
+    const { localAddress } = this.options;
+    const socket = new WebSocket(this.options.url, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      ...(localAddress === undefined ? {} : { localAddress }),
+    });
     const { handlers } = this.options;
     const link = new Link({
       socket,
