--- /dev/null
+++ b/packages/soak/src/fault-plan.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { describe, title } from '@shedline/test-utils';
+import { CATCH_UP_MS, isCalm, planFaults } from './fault-plan.js';
+import type { Fault, Target } from './fault-plan.js';
+
+const TARGETS: readonly Target[] = ['control', 'store', 'entry'].flatMap((role) =>
+  [1, 2, 3].map((number) => ({ name: `${role}-${number}`, role: role as Target['role'] })),
+);
+const ENDPOINTS = ['endpoint-1', 'endpoint-2', 'endpoint-3'];
+
+function planOf(seed: number): Fault[] {
+  return planFaults({
+    seed,
+    durationMs: 30_000,
+    targets: TARGETS,
+    endpoints: ENDPOINTS,
+    toleratedLosses: 1,
+  });
+}
+
+function isOut(fault: Fault, atMs: number): boolean {
+  return fault.atMs <= atMs && atMs < fault.atMs + fault.forMs + CATCH_UP_MS;
+}
+
+describe('planFaults', () => {
+  test(title('gives the same faults for the same seed'), (t) => {
+    t.deepEqual(planOf(5), planOf(5));
+    t.notDeepEqual(planOf(5), planOf(6));
+  });
+
+  test(title('never takes more disks out at once than tolerated, nor the last entry'), (t) => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 100_000 }), (seed) => {
+        const faults = planOf(seed).filter(({ kind }) => kind !== 'killAll');
+        return faults.every(({ atMs }) => {
+          const out = faults.filter((fault) => isOut(fault, atMs));
+          const disks = out.filter(({ target, kind }) => {
+            return /control|store/.test(target) && kind !== 'reload';
+          });
+          const entries = new Set(
+            out.map(({ target }) => target).filter((name) => /^entry/.test(name)),
+          );
+          return disks.length <= 1 && entries.size <= 2;
+        });
+      }),
+      { seed: 31, numRuns: 200 },
+    );
+    t.pass();
+  });
+
+  test(title('brings every kind of fault in some seed'), (t) => {
+    const seeds = Array.from({ length: 200 }, (_, seed) => seed + 1);
+    const kinds = new Set(seeds.flatMap((seed) => planOf(seed).map(({ kind }) => kind)));
+    t.is(kinds.size, 14);
+  });
+});
+
+describe('isCalm', () => {
+  const kill: Fault = { kind: 'kill', target: 'entry-1', atMs: 1000, forMs: 500 };
+
+  test(title('is false from a fault until the process has caught up'), (t) => {
+    t.true(isCalm([kill], 0, 1000));
+    t.false(isCalm([kill], 0, 1001));
+    t.false(isCalm([kill], 1500 + CATCH_UP_MS - 1, 9000));
+    t.true(isCalm([kill], 1500 + CATCH_UP_MS, 9000));
+  });
+
+  test(title('planned stops are calm'), (t) => {
+    t.true(isCalm([{ ...kill, kind: 'stop' }], 0, 9000));
+  });
+});
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -93,10 +93,10 @@
 /** Time after a fault in which a process still catches up, and counts as out. */
 export const CATCH_UP_MS = 5000;
 /** Longest pause between two faults; many overlap. */
-const MAX_GAP_MS = 1500;
+const MAX_GAP_MS = 700;
 const FIRST_FAULT_MS = 1000;
 const MIN_FAULT_MS = 300;
-const MAX_FAULT_MS = 4000;
+const MAX_FAULT_MS = 3000;
 const KILL_ALL_SHARE = 0.04;
 const ENDPOINT_SHARE = 0.25;
 const SERIES_SHARE = 0.2;
--- /dev/null
+++ b/packages/soak/src/ledger.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import { describe, title } from '@shedline/test-utils';
+import { wholeText } from './expected.js';
+import { Ledger } from './ledger.js';
+
+function ledger(isCalm = true): Ledger {
+  return new Ledger({ isCalm: () => isCalm });
+}
+
+function promises(one: Ledger): string[] {
+  return one.finish(99_999).map(({ promise }) => promise);
+}
+
+describe('Ledger', () => {
+  test(title('finds nothing where all went well'), (t) => {
+    const one = ledger();
+    one.sent('q', 'once', 0);
+    one.ran('q', 'e', 1);
+    one.ended('q', { kind: 'complete', text: wholeText('q') }, 2);
+    one.offered('j', ['i']);
+    one.accepted('j', ['i']);
+    one.ran('i', 'e', 3);
+    one.listed('j', 0, { itemId: 'i', state: 'complete', text: wholeText('i') }, 4);
+    one.listed('j', 0, { itemId: 'i', state: 'complete', text: wholeText('i') }, 5);
+    one.configured(3, 0);
+    one.configurationRead(3, 'three', 10);
+    t.deepEqual(promises(one), []);
+  });
+
+  test(title('finds a request that ran twice, or ran and was refused'), (t) => {
+    const one = ledger();
+    one.sent('q', 'once', 0);
+    one.ran('q', 'e', 1);
+    one.ran('q', 'f', 2);
+    one.sent('r', 'repeatable', 0);
+    one.ran('r', 'e', 1);
+    one.ended('r', { kind: 'refused', status: 503 }, 2);
+    t.deepEqual(promises(one), ['at most one run', 'refused requests did not run']);
+  });
+
+  test(title('finds answers that are short or belong to others'), (t) => {
+    const one = ledger();
+    one.sent('q', 'resumable', 0);
+    one.ended('q', { kind: 'complete', text: wholeText('other') }, 2);
+    t.deepEqual(promises(one), ['whole own answers']);
+  });
+
+  test(title('counts a cut answer only in calm, and only if an endpoint had it'), (t) => {
+    for (const [isCalm, hasRun, breaks] of [
+      [true, true, 1],
+      [false, true, 0],
+      [true, false, 0],
+    ] as const) {
+      const one = ledger(isCalm);
+      one.sent('q', 'once', 0);
+      if (hasRun) one.ran('q', 'e', 1);
+      one.ended('q', { kind: 'cut', reason: 'reset' }, 2);
+      t.is(promises(one).length, breaks);
+    }
+  });
+
+  test(title('finds configurations that revert or change under their version'), (t) => {
+    const one = ledger();
+    one.configured(5, 100);
+    one.configurationRead(4, 'four', 50);
+    one.configurationRead(4, 'four', 150);
+    one.configurationRead(5, 'five', 160);
+    one.configurationRead(5, 'other five', 170);
+    t.deepEqual(promises(one), ['configurations never revert', 'one content a version']);
+  });
+
+  test(title('finds results that are lost, moved, doubled or wrong'), (t) => {
+    const one = ledger();
+    one.offered('j', ['a', 'b', 'c']);
+    one.accepted('j', ['a', 'b', 'c']);
+    one.listed('j', 0, { itemId: 'a', state: 'complete', text: wholeText('a') }, 1);
+    one.listed('j', 0, { itemId: 'b', state: 'complete', text: wholeText('b') }, 2);
+    one.listed('j', 1, { itemId: 'a', state: 'complete', text: wholeText('a') }, 3);
+    one.listed('j', 2, { itemId: 'b', state: 'complete', text: 'half' }, 4);
+    one.jobMissing('j', 5);
+    t.deepEqual(promises(one), [
+      'results keep position and content',
+      'an item is listed once',
+      'results are whole',
+      'accepted jobs stay readable',
+    ]);
+  });
+
+  test(title('finds accepted jobs that are never done'), (t) => {
+    const one = ledger();
+    one.offered('j', ['a']);
+    one.accepted('j', ['a']);
+    t.deepEqual(promises(one), ['accepted items complete']);
+  });
+
+  test(title('finds late work of ended jobs, of endpoints that left, and of nobody'), (t) => {
+    const one = ledger();
+    one.offered('j', ['a']);
+    one.accepted('j', ['a']);
+    one.jobEnded('j', 0);
+    one.ran('a', 'e', 2900);
+    one.ran('a', 'e', 3100);
+    one.left('f', 0);
+    one.sent('q', 'repeatable', 0);
+    one.ran('q', 'f', 2400);
+    one.ran('q', 'f', 2600);
+    one.ran('unknown', 'e', 0);
+    t.deepEqual(promises(one), [
+      'ended jobs stop',
+      'leaving endpoints get no work',
+      'only what was asked for runs',
+    ]);
+  });
+});
--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -48,6 +48,8 @@
   /** Processes that ended without being told to. */
   readonly ownEnds: string[] = [];
   private readonly told = new Set<ChildProcess>();
+  /** Processes that have logged something. */
+  private readonly speaking = new WeakSet<ChildProcess>();
 
   constructor(options: ProcessSetOptions) {
     this.options = options;
@@ -77,6 +79,7 @@
     const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
+    child.stdout.once('data', () => this.speaking.add(child));
     this.running.set(name, child);
     child.once('exit', (code, signal) => {
       if (!this.told.has(child)) this.ownEnds.push(`${name} (${code ?? signal ?? 'unknown'})`);
@@ -86,7 +89,11 @@
 
   /** Sends a signal that the process lives on with. */
   signal(name: string, signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-    this.running.get(name)?.kill(signal);
+    const child = this.running.get(name);
+    if (child === undefined) return;
+    // The runtime itself dies of a reload signal before any program can listen for it.
+    if (signal === 'SIGHUP' && !this.speaking.has(child)) return;
+    child.kill(signal);
   }
 
   /** Ends a process and waits until it is gone. */
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -53,7 +53,7 @@
   readonly tookMs: number;
 }
 
-const DEFAULT_COUNTS = { control: 3, store: 3, entry: 3, endpoint: 4 };
+const DEFAULT_COUNTS = { control: 3, store: 3, entry: 4, endpoint: 5 };
 
 /** Plays one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakOutcome> {
