--- a/packages/soak/src/fault-plan.test.ts
+++ b/packages/soak/src/fault-plan.test.ts
@@ -39,7 +39,7 @@
             return /control|store/.test(target) && kind !== 'reload';
           });
           const entries = new Set(
-            out.map(({ target }) => target).filter((name) => /^entry/.test(name)),
+            out.map(({ target }) => target).filter((name) => name.startsWith("entry")),
           );
           return disks.length <= 1 && entries.size <= 2;
         });
@@ -60,13 +60,19 @@
   const kill: Fault = { kind: 'kill', target: 'entry-1', atMs: 1000, forMs: 500 };
 
   test(title('is false from a fault until the process has caught up'), (t) => {
-    t.true(isCalm([kill], 0, 1000));
-    t.false(isCalm([kill], 0, 1001));
-    t.false(isCalm([kill], 1500 + CATCH_UP_MS - 1, 9000));
-    t.true(isCalm([kill], 1500 + CATCH_UP_MS, 9000));
+    t.true(isCalm([kill], { fromMs: 0, untilMs: 1000 }));
+    t.false(isCalm([kill], { fromMs: 0, untilMs: 1001 }));
+    t.false(isCalm([kill], { fromMs: 1500 + CATCH_UP_MS - 1, untilMs: 9000 }));
+    t.true(isCalm([kill], { fromMs: 1500 + CATCH_UP_MS, untilMs: 9000 }));
+  });
+
+  test(title('asks only about what matters, and about what strikes all'), (t) => {
+    const span = { fromMs: 0, untilMs: 9000 };
+    t.true(isCalm([kill], span, (target) => target === 'entry-2'));
+    t.false(isCalm([{ ...kill, kind: 'killAll', target: '' }], span, () => false));
   });
 
   test(title('planned stops are calm'), (t) => {
-    t.true(isCalm([{ ...kill, kind: 'stop' }], 0, 9000));
+    t.true(isCalm([{ ...kill, kind: 'stop' }], { fromMs: 0, untilMs: 9000 }));
   });
 });
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -108,11 +108,21 @@
   return PLANNED.has(fault.kind);
 }
 
-/** Whether no unplanned fault was in force, or had just been, in a span of time. */
-export function isCalm(faults: readonly Fault[], fromMs: number, untilMs: number): boolean {
+/** Tells processes and endpoints that matter for a question by their names. */
+export type Concerns = (target: string) => boolean;
+
+/** Whether no unplanned fault that matters was in force, or had just been, in a span of time. */
+export function isCalm(
+  faults: readonly Fault[],
+  span: { readonly fromMs: number; readonly untilMs: number },
+  concerns: Concerns = () => true,
+): boolean {
   return faults.every(
     (fault) =>
-      isPlanned(fault) || fault.atMs >= untilMs || fault.atMs + fault.forMs + CATCH_UP_MS <= fromMs,
+      isPlanned(fault) ||
+      (fault.target !== '' && !concerns(fault.target)) ||
+      fault.atMs >= span.untilMs ||
+      fault.atMs + fault.forMs + CATCH_UP_MS <= span.fromMs,
   );
 }
 
--- a/packages/soak/src/ledger.test.ts
+++ b/packages/soak/src/ledger.test.ts
@@ -14,7 +14,7 @@
 describe('Ledger', () => {
   test(title('finds nothing where all went well'), (t) => {
     const one = ledger();
-    one.sent('q', 'once', 0);
+    one.sent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
     one.ran('q', 'e', 1);
     one.ended('q', { kind: 'complete', text: wholeText('q') }, 2);
     one.offered('j', ['i']);
@@ -29,10 +29,10 @@
 
   test(title('finds a request that ran twice, or ran and was refused'), (t) => {
     const one = ledger();
-    one.sent('q', 'once', 0);
+    one.sent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
     one.ran('q', 'e', 1);
     one.ran('q', 'f', 2);
-    one.sent('r', 'repeatable', 0);
+    one.sent('r', { entry: 'entry-1', kind: 'repeatable', atMs: 0 });
     one.ran('r', 'e', 1);
     one.ended('r', { kind: 'refused', status: 503 }, 2);
     t.deepEqual(promises(one), ['at most one run', 'refused requests did not run']);
@@ -40,7 +40,7 @@
 
   test(title('finds answers that are short or belong to others'), (t) => {
     const one = ledger();
-    one.sent('q', 'resumable', 0);
+    one.sent('q', { entry: 'entry-1', kind: 'resumable', atMs: 0 });
     one.ended('q', { kind: 'complete', text: wholeText('other') }, 2);
     t.deepEqual(promises(one), ['whole own answers']);
   });
@@ -52,7 +52,7 @@
       [true, false, 0],
     ] as const) {
       const one = ledger(isCalm);
-      one.sent('q', 'once', 0);
+      one.sent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
       if (hasRun) one.ran('q', 'e', 1);
       one.ended('q', { kind: 'cut', reason: 'reset' }, 2);
       t.is(promises(one).length, breaks);
@@ -101,7 +101,7 @@
     one.ran('a', 'e', 2900);
     one.ran('a', 'e', 3100);
     one.left('f', 0);
-    one.sent('q', 'repeatable', 0);
+    one.sent('q', { entry: 'entry-1', kind: 'repeatable', atMs: 0 });
     one.ran('q', 'f', 2400);
     one.ran('q', 'f', 2600);
     one.ran('unknown', 'e', 0);
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -3,6 +3,7 @@
  * come out. It knows nothing of faults but whether a span of time was calm.
  */
 import { POISON_PREFIX, wholeText } from './expected.js';
+import type { Concerns } from './fault-plan.js';
 
 /** How a request may be repeated. */
 export type RequestKind = 'resumable' | 'once' | 'repeatable';
@@ -30,10 +31,17 @@
   readonly text: string;
 }
 
+/** How a request is sent. */
+export interface Sending {
+  readonly entry: string;
+  readonly kind: RequestKind;
+  readonly atMs: number;
+}
+
 /** Options of {@link Ledger}. */
 export interface LedgerOptions {
-  /** Whether no unplanned fault was in force, or had just been. */
-  readonly isCalm: (fromMs: number, untilMs: number) => boolean;
+  /** Whether no unplanned fault that matters was in force, or had just been. */
+  readonly isCalm: (fromMs: number, untilMs: number, concerns: Concerns) => boolean;
 }
 
 /** Time within which an acknowledged configuration, leave or end is obeyed. */
@@ -41,6 +49,8 @@
 const CANCEL_WITHIN_MS = 3000;
 
 interface RequestNote {
+  /** Entry that the caller sent it to. */
+  readonly entry: string;
   readonly kind: RequestKind;
   readonly sentAtMs: number;
   end?: RequestEnd;
@@ -70,8 +80,9 @@
   }
 
   /** A caller sends a request. */
-  sent(requestId: string, kind: RequestKind, atMs: number): void {
-    this.requests.set(requestId, { kind, sentAtMs: atMs, ranAtMs: [] });
+  sent(requestId: string, sending: Sending): void {
+    const { entry, kind, atMs } = sending;
+    this.requests.set(requestId, { entry, kind, sentAtMs: atMs, ranAtMs: [] });
   }
 
   /** A request ended for its caller. */
@@ -85,7 +96,8 @@
     }
     const wasRead = note.ranAtMs.length > 0;
     const isCut = end.kind === 'cut' || (end.kind === 'failed' && end.status >= 500);
-    if (isCut && wasRead && this.options.isCalm(note.sentAtMs, atMs)) {
+    const concerns: Concerns = (target) => target === note.entry || target.startsWith('endpoint');
+    if (isCut && wasRead && this.options.isCalm(note.sentAtMs, atMs, concerns)) {
       this.broken('nothing is cut in calm', atMs, `${requestId} ${JSON.stringify(end)}`);
     }
   }
@@ -93,12 +105,15 @@
   /** An endpoint begins to run a request. */
   ran(requestId: string, endpointId: string, atMs: number): void {
     this.count('runs');
+    const note = this.requests.get(requestId);
     const left = this.leftAtMs.get(endpointId);
     const isLate = left !== undefined && atMs > left + OBEY_WITHIN_MS;
-    if (isLate && this.options.isCalm(left, atMs)) {
+    const sender = note?.entry ?? 'entry';
+    const concerns: Concerns = (target) =>
+      target.startsWith(sender) || target.startsWith('control');
+    if (isLate && this.options.isCalm(left, atMs, concerns)) {
       this.broken('leaving endpoints get no work', atMs, `${requestId} at ${endpointId}`);
     }
-    const note = this.requests.get(requestId);
     if (note !== undefined) {
       note.ranAtMs.push(atMs);
       return;
@@ -217,7 +232,7 @@
     }
     const endedAtMs = this.jobs.get(jobId)?.endedAtMs;
     const isLate = endedAtMs !== undefined && atMs > endedAtMs + CANCEL_WITHIN_MS;
-    if (isLate && this.options.isCalm(endedAtMs, atMs)) {
+    if (isLate && this.options.isCalm(endedAtMs, atMs, () => true)) {
       this.broken('ended jobs stop', atMs, `${itemId} of ${jobId}`);
     }
   }
--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -45,6 +45,7 @@
 export class ProcessSet {
   private readonly options: ProcessSetOptions;
   private readonly running = new Map<string, ChildProcess>();
+  private readonly starting = new Set<string>();
   /** Processes that ended without being told to. */
   readonly ownEnds: string[] = [];
   private readonly told = new Set<ChildProcess>();
@@ -60,31 +61,16 @@
     return this.running.has(name);
   }
 
-  /** Starts a process; it is not waited for. */
-  async start(name: string, { isFounding = false } = {}): Promise<void> {
-    const { folder, programOf, settingsVariable, settingsOf } = this.options;
-    const place = this.placeOf(name);
-    const dataDir = this.dataDirOf(name);
-    await mkdir(dataDir, { recursive: true });
-    const file = join(folder, `${name}.json`);
-    await writeFile(file, JSON.stringify(settingsOf(place, { isFounding, dataDir })));
-    const child = spawn(
-      process.execPath,
-      [`--max-old-space-size=${HEAP_MB}`, programOf(place.role)],
-      {
-        env: { PATH: process.env.PATH ?? '', [settingsVariable]: file },
-        stdio: ['ignore', 'pipe', 'pipe'],
-      },
-    );
-    const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
-    child.stdout.pipe(log, { end: false });
-    child.stderr.pipe(log, { end: false });
-    child.stdout.once('data', () => this.speaking.add(child));
-    this.running.set(name, child);
-    child.once('exit', (code, signal) => {
-      if (!this.told.has(child)) this.ownEnds.push(`${name} (${code ?? signal ?? 'unknown'})`);
-      if (this.running.get(name) === child) this.running.delete(name);
-    });
+  /** Starts a process that does not run; it is not waited for. */
+  async start(name: string, options: { readonly isFounding?: boolean } = {}): Promise<void> {
+    // Faults that overlap may both want to bring it back.
+    if (this.running.has(name) || this.starting.has(name)) return;
+    this.starting.add(name);
+    try {
+      await this.spawn(name, options.isFounding ?? false);
+    } finally {
+      this.starting.delete(name);
+    }
   }
 
   /** Sends a signal that the process lives on with. */
@@ -128,6 +114,32 @@
     await Promise.all([...this.running.keys()].map((name) => this.end(name, 'SIGKILL')));
   }
 
+  private async spawn(name: string, isFounding: boolean): Promise<void> {
+    const { folder, programOf, settingsVariable, settingsOf } = this.options;
+    const place = this.placeOf(name);
+    const dataDir = this.dataDirOf(name);
+    await mkdir(dataDir, { recursive: true });
+    const file = join(folder, `${name}.json`);
+    await writeFile(file, JSON.stringify(settingsOf(place, { isFounding, dataDir })));
+    const child = spawn(
+      process.execPath,
+      [`--max-old-space-size=${HEAP_MB}`, programOf(place.role)],
+      {
+        env: { PATH: process.env.PATH ?? '', [settingsVariable]: file },
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
+    const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.stdout.once('data', () => this.speaking.add(child));
+    this.running.set(name, child);
+    child.once('exit', (code, signal) => {
+      if (!this.told.has(child)) this.ownEnds.push(`${name} (${code ?? signal ?? 'unknown'})`);
+      if (this.running.get(name) === child) this.running.delete(name);
+    });
+  }
+
   private dataDirOf(name: string): string {
     return join(this.options.folder, `data-${name}`);
   }
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -6,7 +6,7 @@
 import { pick, seededRandom } from '@shedline/test-utils';
 import type { RandomSource } from '@shedline/test-utils';
 import { POISON_PREFIX } from './expected.js';
-import type { FleetWire, SoakEndpoint } from './fleet-wire.js';
+import type { FleetWire, SoakCaller, SoakEndpoint } from './fleet-wire.js';
 import type { Ledger, RequestKind } from './ledger.js';
 import type { Place } from './process-set.js';
 
@@ -73,7 +73,7 @@
   async probe(entry: Place): Promise<boolean> {
     const caller = this.options.wire.openCaller(entry);
     try {
-      return await this.request(caller, 'repeatable');
+      return await this.request(caller, entry, 'repeatable');
     } finally {
       await caller.close();
     }
@@ -115,11 +115,12 @@
         await pause(RETRY_PAUSE_MS);
         continue;
       }
-      const caller = this.options.wire.openCaller(pick(this.random, usable));
+      const entry = pick(this.random, usable);
+      const caller = this.options.wire.openCaller(entry);
       // The connection is kept until something goes wrong on it.
       let goesOn = true;
       while (goesOn && !this.isStopped()) {
-        goesOn = await this.request(caller, pick(this.random, KINDS));
+        goesOn = await this.request(caller, entry, pick(this.random, KINDS));
         await pause(this.random() * CALLER_PAUSE_MS);
       }
       await caller.close();
@@ -131,12 +132,13 @@
   }
 
   private async request(
-    caller: ReturnType<FleetWire['openCaller']>,
+    caller: SoakCaller,
+    { name: entry }: Place,
     kind: RequestKind,
   ): Promise<boolean> {
     const { ledger, nowMs } = this.options;
     const requestId = this.newId('q');
-    ledger.sent(requestId, kind, nowMs());
+    ledger.sent(requestId, { entry, kind, atMs: nowMs() });
     const end = await caller.send({ requestId, kind, timeoutMs: REQUEST_TIMEOUT_MS });
     ledger.ended(requestId, end, nowMs());
     return end.kind === 'complete';
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -102,7 +102,13 @@
     });
     this.processes = this.createProcesses();
     this.heartbeats = new Heartbeats(this.wire, this.ofRole('control'));
-    this.ledger = new Ledger({ isCalm: (fromMs, untilMs) => this.isCalm(fromMs, untilMs) });
+    this.ledger = new Ledger({
+      isCalm: (fromMs, untilMs, concerns) => {
+        const zeroMs = this.planZeroMs;
+        const span = { fromMs: fromMs - zeroMs, untilMs: untilMs - zeroMs };
+        return isCalm(this.faults, span, concerns);
+      },
+    });
     this.load = new SoakLoad({
       seed,
       wire: this.wire,
@@ -146,10 +152,6 @@
     return performance.now() - this.startedAtMs;
   }
 
-  private isCalm(fromMs: number, untilMs: number): boolean {
-    return isCalm(this.faults, fromMs - this.planZeroMs, untilMs - this.planZeroMs);
-  }
-
   private ofRole(role: Role): Place[] {
     return this.places.filter((place) => place.role === role);
   }
