--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,5 +14,7 @@
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
     },
   },
-  { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
+  { files: ['**/*.js', '**/*.mjs', '**/*.cjs'], ...tseslint.configs.disableTypeChecked },
+  // A module that is not an ECMAScript module has no other way to import.
+  { files: ['**/*.cjs'], rules: { '@typescript-eslint/no-require-imports': 'off' } },
 );
