First elections begin early and double their time-out

Change: the first time-out is 70 ms and doubles with each try up to the usual one, until a leader was heard of; a standing leader refuses the pre-vote as before. Schedules of the consensus properties run with the short first time-out too, and pass.

--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -45,9 +45,9 @@
   /** Shortest time without a leader before an election. */
   readonly electionTimeoutMs?: number;
   /**
-   * Shortest time from the start to the first election; default: the election timeout. A group
-   * that restarts as a whole comes back sooner, and a group that has a leader refuses the
-   * pre-vote of a member that starts early.
+   * Shortest time from the start to the first election; default: the election timeout. It doubles
+   * with each try up to that. A group that restarts as a whole comes back sooner, and a group that
+   * has a leader refuses the pre-vote of a member that starts early.
    */
   readonly firstElectionTimeoutMs?: number;
   readonly heartbeatIntervalMs?: number;
@@ -74,6 +74,8 @@
   private savedHardState: HardState;
   private currentRole: Role = 'follower';
   private currentLeader = '';
+  /** Grows to the election timeout with each try until a leader was heard of. */
+  private startTimeoutMs: number;
   private commit: number;
   private handedOut: number;
   private stable: number;
@@ -118,7 +120,8 @@
     this.handedOut = options.snapshot.index;
     this.stable = this.log.lastIndex;
     this.unstableFrom = this.log.lastIndex + 1;
-    this.resetElectionDeadline(options.firstElectionTimeoutMs);
+    this.startTimeoutMs = options.firstElectionTimeoutMs ?? this.electionTimeoutMs;
+    this.resetElectionDeadline();
     this.becomeLeaderIfAlone();
   }
 
@@ -362,9 +365,12 @@
     return committed;
   }
 
-  private resetElectionDeadline(timeoutMs = this.electionTimeoutMs): void {
+  private resetElectionDeadline(): void {
+    const timeoutMs = Math.min(this.startTimeoutMs, this.electionTimeoutMs);
     const spreadMs = this.random() * timeoutMs;
     this.electionDeadlineMs = this.nowMs + timeoutMs + spreadMs;
+    // Members that are still starting answer late; doubling gives them the time.
+    this.startTimeoutMs = timeoutMs * 2;
   }
 
   private becomeLeaderIfAlone(): void {
@@ -378,6 +384,7 @@
     }
     this.currentRole = 'follower';
     this.currentLeader = leaderId;
+    if (leaderId !== '') this.startTimeoutMs = this.electionTimeoutMs;
     this.pendingReads.clear();
     this.transferTarget = '';
     this.resetElectionDeadline();
@@ -458,6 +465,7 @@
   private becomeLeader(): void {
     this.currentRole = 'leader';
     this.currentLeader = this.memberId;
+    this.startTimeoutMs = this.electionTimeoutMs;
     this.followers.clear();
     this.transferTarget = '';
     this.pendingReads.clear();
--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -302,6 +302,7 @@
       snapshot: disk.snapshot,
       entries: disk.entries,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
+      firstElectionTimeoutMs: ELECTION_TIMEOUT_MS / 8,
       heartbeatIntervalMs: HEARTBEAT_MS,
       ...(disk.hardState === undefined ? {} : { hardState: disk.hardState }),
     });
--- a/packages/fleet-control/src/group-settings.ts
+++ b/packages/fleet-control/src/group-settings.ts
@@ -5,8 +5,11 @@
 
 /** Three missed heartbeats and a margin: an election costs less than a second. */
 const ELECTION_TIMEOUT_MS = 600;
-/** After a start, long enough to connect to the others; a standing leader refuses the pre-vote. */
-const FIRST_ELECTION_TIMEOUT_MS = 200;
+/**
+ * After a start: connections stand 30 ms after a process listens (played loss of all power, Forma),
+ * a standing leader refuses the pre-vote, and each try doubles the time.
+ */
+const FIRST_ELECTION_TIMEOUT_MS = 70;
 /** A follower learns of a commit within one of these. */
 const HEARTBEAT_INTERVAL_MS = 100;
 /**
