--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -20,12 +20,13 @@
 import type { MemberDutiesOptions } from './member-duties.js';
 import { MemberMailbox, detached } from './member-mailbox.js';
 import type { ConsensusBatch } from './member-mailbox.js';
+import { PRESENCE_INTERVAL_MS, PeerPresence } from './peer-presence.js';
+import type { PresenceMessage } from './peer-presence.js';
 import { SnapshotExchange } from './snapshot-exchange.js';
 import type { GroupStateMachine } from './state-machine.js';
 
-const TICK_MS = 50;
-const PRESENCE_INTERVAL_MS = 500;
-const PRESENCE_LEASE_MS = 3000;
+/** Fine enough that members whose first election times differ do not vote in the same tick. */
+const TICK_MS = 20;
 const DUTY_INTERVAL_MS = 250;
 const HOUSEKEEP_INTERVAL_MS = 10_000;
 const SPREAD_INTERVAL_MS = 5000;
@@ -92,7 +93,7 @@
 export class GroupNode {
   readonly hosts = new Map<number, GroupHost>();
   private readonly options: GroupNodeOptions;
-  private readonly presence = new Map<string, { memberId: string; heardAtMs: number }>();
+  private readonly presence: PeerPresence;
   private readonly mailbox: MemberMailbox;
   private readonly snapshots: SnapshotExchange;
   private readonly itemFiles = new Map<number, DiskItemFiles>();
@@ -102,13 +103,13 @@
   private ownMemberId = '';
   private document: ClusterDocument | undefined;
   private timers: NodeJS.Timeout[] = [];
-  private joinedAtMs = 0;
   private stopped = false;
 
   constructor(options: GroupNodeOptions) {
     this.options = options;
     const { logger, nowMs, peers } = options;
     const peer = (instance: string) => peers.get(instance);
+    this.presence = new PeerPresence({ peers, logger, nowMs });
     this.mailbox = new MemberMailbox(peer);
     this.snapshots = new SnapshotExchange({
       logger,
@@ -179,7 +180,7 @@
       await saveCluster(storage, found);
       this.document = found;
     }
-    this.joinedAtMs = this.options.nowMs();
+    this.presence.joined();
     this.openGroups(this.document);
     this.startTimers();
     this.options.logger.info('groups open', { memberId: this.ownMemberId, step: 'start' });
@@ -248,7 +249,7 @@
     if (this.stopped) return true;
     switch (method) {
       case 'presence':
-        this.onPresence(payload);
+        this.presence.receive(payload as PresenceMessage, this.document?.clusterId);
         return true;
       case 'consensus':
         this.onConsensus(payload as ConsensusBatch);
@@ -386,20 +387,12 @@
   }
 
   private announcePresence(): void {
-    const { name, peers, nowMs } = this.options;
-    const { ownMemberId: memberId } = this;
-    const message = { instance: name, memberId, clusterId: this.document?.clusterId };
-    for (const peer of peers.ready) peer.send('presence', message);
-    this.presence.set(name, { memberId, heardAtMs: nowMs() });
-  }
-
-  /** Identities of the processes of the cluster that are up. */
-  private liveIds(): string[] {
-    const nowMs = this.options.nowMs();
-    const live = [...this.presence.values()].filter(
-      (entry) => nowMs - entry.heardAtMs < PRESENCE_LEASE_MS,
-    );
-    return live.map((entry) => entry.memberId);
+    const { ownMemberId: memberId, document } = this;
+    this.presence.announce({
+      instance: this.options.name,
+      memberId,
+      clusterId: document?.clusterId,
+    });
   }
 
   private leaderDuties(): void {
@@ -416,23 +409,16 @@
 
   private dutiesOf(host: GroupHost): MemberDutiesOptions {
     const { settings, logger, role } = this.options;
-    const liveIds = this.liveIds();
+    const { liveIds } = this.presence;
     const { voters, learners } = host.consensus.config;
     const known = new Set([...voters, ...learners, ...liveIds]);
     const retiring = [...known].filter((id) => role.isRetiring?.(instanceOf(id)) === true);
     const retiringIds = new Set(retiring);
-    const unheardMs = (memberId: string): number => this.unheardMs(memberId);
+    const unheardMs = (id: string): number => this.presence.unheardMs(instanceOf(id), id);
     const { ownMemberId: memberId } = this;
     return { host, memberId, liveIds, settings, logger, retiringIds, unheardMs };
   }
 
-  /** Time since a member was last heard; since the start of the groups where it never was. */
-  private unheardMs(memberId: string): number {
-    const heard = this.presence.get(instanceOf(memberId));
-    const sinceMs = heard?.memberId === memberId ? heard.heardAtMs : this.joinedAtMs;
-    return this.options.nowMs() - sinceMs;
-  }
-
   private relieveWal(): void {
     const storage = this.storage;
     if (storage === undefined || storage.segmentCount <= MAX_WAL_SEGMENTS) return;
@@ -461,24 +447,6 @@
     this.options.role.roleChanged(host, this.ownMemberId);
   }
 
-  private onPresence(payload: unknown): void {
-    const { instance, memberId, clusterId } = payload as {
-      instance: string;
-      memberId: string;
-      clusterId: string | undefined;
-    };
-    // An instance that still looks for its cluster belongs to none yet.
-    if (clusterId === undefined || this.document === undefined) return;
-    if (clusterId !== this.document.clusterId) {
-      this.options.logger.error('peer belongs to another cluster', {
-        peer: instance,
-        step: 'presence',
-      });
-      return;
-    }
-    this.presence.set(instance, { memberId, heardAtMs: this.options.nowMs() });
-  }
-
   private onConsensus(batch: ConsensusBatch): void {
     const nowMs = this.options.nowMs();
     for (const [group, message] of batch) {
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -8,7 +8,6 @@
 import type { ClusterDocument, GroupHost, HelloAnswer } from '@shedline/control';
 import { LeaderCaller } from '@shedline/control-client';
 import type { CallPort } from '@shedline/control-client';
-import { ShedlineError } from '@shedline/errors';
 import { EndpointRegister, configurationProblem } from '@shedline/fleet';
 import type {
   AgedHeartbeat,
@@ -316,7 +315,7 @@
         await this.leader(method).confirmLeadership();
         return this.machine.state.configurationDocument;
       default:
-        throw this.unavailable(method, `${this.core.name} answers no ${method}`);
+        throw this.core.unavailable(method, `${this.core.name} answers no ${method}`);
     }
   }
 
@@ -335,7 +334,7 @@
 
   private leader(step: string): GroupHost {
     const host = this.groups?.hosts.get(FLEET_GROUP);
-    if (host === undefined) throw this.unavailable(step, 'this process holds no group');
+    if (host === undefined) throw this.core.unavailable(step, 'this process holds no group');
     return host;
   }
 
@@ -346,11 +345,6 @@
       this.register.hear(heartbeat, ageMs, this.nowMs());
     }
   }
-
-  private unavailable(step: string, message: string): ShedlineError {
-    const peer = this.core.name;
-    return new ShedlineError({ type: 'unavailable', message, step, peer, ran: 'no' });
-  }
 }
 
 function controlRecord(settings: FleetSettings): { controlAddress?: string } {
--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -2,7 +2,7 @@
  * What the leader of a job group answers to entries: results, bodies and items to run.
  */
 import type { GroupHost } from '@shedline/control';
-import { ShedlineError } from '@shedline/errors';
+import type { ShedlineError } from '@shedline/errors';
 import { ItemDispenser } from '@shedline/whole-jobs';
 import type { CommitRuns, ItemRef, ItemRequest } from '@shedline/whole-jobs';
 import type { WholeJobGroup } from './machines.js';
@@ -20,8 +20,8 @@
 
 /** Options of {@link JobRequests}. */
 export interface JobRequestsOptions {
-  /** Name of the process, for errors. */
-  readonly name: string;
+  /** Makes the error of a process that cannot answer. */
+  readonly unavailable: (step: string, message: string, leader: string) => ShedlineError;
   readonly nowMs: () => number;
 }
 
@@ -162,7 +162,7 @@
   private requireLeading(host: GroupHost, step: string): void {
     if (host.isLeading) return;
     const leader = host.consensus.leaderId.split('#')[0] ?? '';
-    throw this.unavailable(step, `does not lead group ${host.group}`, leader);
+    throw this.options.unavailable(step, `does not lead group ${host.group}`, leader);
   }
 
   private dispenserOf(group: number): ItemDispenser {
@@ -172,16 +172,4 @@
     this.dispensers.set(group, fresh);
     return fresh;
   }
-
-  private unavailable(step: string, message: string, leader = ''): ShedlineError {
-    const peer = this.options.name;
-    return new ShedlineError({
-      type: 'unavailable',
-      message,
-      step,
-      peer,
-      ran: 'no',
-      details: { leader },
-    });
-  }
 }
--- a/packages/fleet-control/src/process-core.ts
+++ b/packages/fleet-control/src/process-core.ts
@@ -3,6 +3,7 @@
  */
 import { randomBytes } from 'node:crypto';
 import type { FleetSettings } from '@shedline/config';
+import { ShedlineError } from '@shedline/errors';
 import type { Logger } from '@shedline/logger';
 import { Mesh } from '@shedline/mesh';
 import type { MemberKind, MemberRecord } from '@shedline/mesh';
@@ -114,6 +115,18 @@
     await this.server.close();
   }
 
+  /** This process cannot answer; nothing was done. `leader` is who could, if known. */
+  unavailable(step: string, message: string, leader?: string): ShedlineError {
+    return new ShedlineError({
+      type: 'unavailable',
+      message,
+      step,
+      peer: this.name,
+      ran: 'no',
+      ...(leader === undefined ? {} : { details: { leader } }),
+    });
+  }
+
   private onMessage(method: string, payload: unknown, link: Link): void {
     if (this.mesh.receive(method, payload, link)) return;
     this.options.handlers.onMessage(method, payload, link);
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -78,7 +78,10 @@
       },
     });
     this.stores = this.core.createPeerBook();
-    this.requests = new JobRequests({ name: this.core.name, nowMs: this.nowMs });
+    this.requests = new JobRequests({
+      nowMs: this.nowMs,
+      unavailable: (step, message, leader) => this.core.unavailable(step, message, leader),
+    });
     this.random = options.random ?? Math.random;
     this.groups = this.createGroups();
     this.addGauges();
@@ -210,12 +213,12 @@
     const { group, body } = payload as GroupRequest<unknown>;
     const host = this.groups.hosts.get(group);
     if (host === undefined || !(host.machine instanceof WholeJobGroup)) {
-      throw this.unavailable(method, `group ${group} is not open here`);
+      throw this.core.unavailable(method, `group ${group} is not open here`);
     }
     if (PROPOSALS.has(method)) return this.propose(host, method, body);
     const answered = this.requests.answer(method, host, host.machine, body);
     if (answered !== undefined) return answered;
-    throw this.unavailable(method, `${this.core.name} answers no ${method}`);
+    throw this.core.unavailable(method, `${this.core.name} answers no ${method}`);
   }
 
   private async propose(host: GroupHost, method: string, body: unknown): Promise<unknown> {
@@ -239,15 +242,4 @@
       this.groups.diskFailure === '' ? 0 : 1,
     );
   }
-
-  private unavailable(step: string, message: string): ShedlineError {
-    const peer = this.core.name;
-    return new ShedlineError({
-      type: 'unavailable',
-      message,
-      step,
-      peer,
-      ran: 'no',
-    });
-  }
 }
--- a/packages/soak/src/fault-plan.test.ts
+++ b/packages/soak/src/fault-plan.test.ts
@@ -39,7 +39,7 @@
             return /control|store/.test(target) && kind !== 'reload';
           });
           const entries = new Set(
-            out.map(({ target }) => target).filter((name) => name.startsWith("entry")),
+            out.map(({ target }) => target).filter((name) => name.startsWith('entry')),
           );
           return disks.length <= 1 && entries.size <= 2;
         });
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -15,7 +15,7 @@
 import type { Place } from './process-set.js';
 import { Relay, UNHARMED } from './relay.js';
 import type { Harm } from './relay.js';
-import { Heartbeats, SoakLoad } from './soak-load.js';
+import { HEARTBEAT_MS, Heartbeats, SoakLoad } from './soak-load.js';
 
 const DELAY_MS = 120;
 /** Time that a fleet may take from power to its first configuration. */
@@ -307,7 +307,12 @@
     this.heartbeats.remove(endpoint.endpointId);
     const isAcknowledged = await this.heartbeats.beat(endpoint, true);
     if (isAcknowledged) this.ledger.left(endpoint.endpointId, this.nowMs());
-    await pause(LEAVE_SERVES_MS);
+    // It goes on to say so while it serves what is still under way.
+    const untilMs = this.nowMs() + LEAVE_SERVES_MS;
+    while (this.nowMs() < untilMs) {
+      await this.heartbeats.beat(endpoint, true);
+      await pause(HEARTBEAT_MS);
+    }
     await endpoint.crash();
     await this.startEndpoint(name);
   }
