Give silent endpoints up where something else may go on

Cause: endpoints that lose power close no connection. Nothing bounded the silence of a send: an item run at such an endpoint, or a stream that may be resumed, waited until its caller left; a connection was waited for 600 ms, twice the usual target. Change: SilenceWatch in the sender: streams that may go on elsewhere are given up after twice what counts as late (500 ms at least), items after 1.5 s; connections after 180 ms. Silence of an endpoint that is full says nothing of it.

--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -56,6 +56,7 @@
 async function sendTo(
   port: number,
   onPart: (stop: () => void) => void = () => undefined,
+  silenceLimitMs?: number,
 ): Promise<Sent> {
   const sender = new EndpointSender({ protocol: PROTOCOL });
   const parts: string[] = [];
@@ -67,6 +68,7 @@
       path: '/',
       headers: [],
       body: Buffer.from('body'),
+      ...(silenceLimitMs === undefined ? {} : { silenceLimitMs }),
     },
     {
       onHead: () => undefined,
@@ -161,4 +163,24 @@
     await new Promise((resolve) => server.close(resolve));
     t.like((await sendTo(port)).result, { kind: 'ended', outcome: { kind: 'notSent' } });
   });
+
+  test(title('gives a silent endpoint up and closes its connection'), async (t) => {
+    const closed: Promise<unknown>[] = [];
+    const begins = STREAM_HEAD + chunk('id: 1\ndata: a\n\n');
+    for (const [bytes, kind] of [
+      [begins, 'brokeOff'],
+      ['', 'lost'],
+    ] as const) {
+      const server = await endpoint((socket) => {
+        closed.push(new Promise((resolve) => socket.once('close', resolve)));
+        if (bytes !== '') socket.write(bytes);
+      });
+      const { port } = server.address() as AddressInfo;
+      const { result } = await sendTo(port, undefined, 60);
+      t.like(result, { kind: 'ended', outcome: { kind, isSilence: true } });
+      server.close();
+    }
+    await Promise.all(closed);
+    t.is(closed.length, 2);
+  });
 });
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -9,9 +9,14 @@
 import type { StreamEvent } from './event-framer.js';
 import type { EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
 import type { SendOutcome } from './request-plan.js';
+import { SilenceWatch } from './silence-watch.js';
 
-/** Longest time that a connection may take to open; an endpoint without power never answers. */
-const CONNECT_TIMEOUT_MS = 600;
+/**
+ * Longest time that a connection may take to open; an endpoint without power never answers, and
+ * another one may still answer within the usual target of 300 ms. Zones are 2 ms apart there and
+ * back, and a lost packet is sent again only after a second.
+ */
+const CONNECT_TIMEOUT_MS = 180;
 /** Time that an idle connection is kept, unless the endpoint says less. */
 const IDLE_CONNECTION_MS = 4000;
 /** Largest body of a failure that is kept to be passed on. */
@@ -26,6 +31,8 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Silence after which the send is given up; undefined where nobody could go on instead. */
+  readonly silenceLimitMs?: number;
 }
 
 /** What a send hands out while it runs. */
@@ -77,7 +84,7 @@
 
   /** Begins a send. */
   send(send: Send, receiver: SendReceiver): RunningSend {
-    const running = new SendHandler(this.protocol, send.requestId, receiver);
+    const running = new SendHandler(this.protocol, send, receiver);
     const options: Dispatcher.DispatchOptions = {
       method: send.method,
       path: send.path,
@@ -138,24 +145,33 @@
   private isStopped = false;
   private kept: Buffer[] = [];
   private keptBytes = 0;
+  private watch: SilenceWatch | undefined;
 
-  constructor(protocol: EndpointProtocol, requestId: string, receiver: SendReceiver) {
+  constructor(protocol: EndpointProtocol, send: Send, receiver: SendReceiver) {
+    const { requestId, silenceLimitMs: limitMs } = send;
     this.protocol = protocol;
     this.requestId = requestId;
     this.receiver = receiver;
     this.result = new Promise((resolve) => {
       this.settle = resolve;
     });
+    if (limitMs === undefined) return;
+    this.watch = new SilenceWatch({
+      limitMs,
+      onSilent: () => {
+        this.silent(limitMs);
+      },
+    });
   }
 
   stop(): void {
-    this.isStopped = true;
-    // Settled first: the abort below is reported as an error of the connection.
-    this.settle({ kind: 'stopped' });
-    this.controller?.abort(new Error('no longer wanted'));
+    // Settled first: the abort is reported as an error of the connection.
+    this.finish({ kind: 'stopped' });
+    this.abandon('no longer wanted');
   }
 
   resume(): void {
+    this.watch?.resume();
     this.controller?.resume();
   }
 
@@ -165,6 +181,7 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.watch?.heard();
     if (statusCode < 200) return;
     const raw = (controller as { rawHeaders?: (Buffer | string)[] }).rawHeaders ?? [];
     const head = this.protocol.readHead(
@@ -187,6 +204,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isStopped) return;
+    this.watch?.heard();
     if (!this.isPassedOn) {
       this.keep(chunk);
       return;
@@ -199,7 +217,9 @@
         goesOn = this.receiver.onPart(event.bytes, event) && goesOn;
       }
     }
-    if (!goesOn) controller.pause();
+    if (goesOn) return;
+    this.watch?.pause();
+    controller.pause();
   }
 
   onResponseEnd(): void {
@@ -241,6 +261,24 @@
   }
 
   private finish(result: SendResult): void {
+    this.watch?.stop();
     this.settle(result);
   }
+
+  /** Whoever goes on elsewhere relies on the connection being closed by then. */
+  private silent(limitMs: number): void {
+    const reason = `silent for ${limitMs} ms`;
+    const kind = this.isPassedOn ? 'brokeOff' : 'lost';
+    const outcome: SendOutcome =
+      this.controller === undefined
+        ? { kind: 'notSent', reason }
+        : { kind, reason, isSilence: true };
+    this.finish({ kind: 'ended', outcome });
+    this.abandon(reason);
+  }
+
+  private abandon(reason: string): void {
+    this.isStopped = true;
+    this.controller?.abort(new Error(reason));
+  }
 }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -10,6 +10,12 @@
 
 /** Longest wait for an endpoint that can take a request, as a share of its target. */
 const WAIT_SHARE_OF_TARGET = 0.2;
+/**
+ * Silence of an endpoint, as a multiple of what callers count as late, after which a stream goes
+ * on elsewhere. Callers abandon a stream after two seconds without an event.
+ */
+const SILENCE_FACTOR = 2;
+const MIN_SILENCE_MS = 500;
 /** Time between looks for an endpoint. */
 const LOOK_INTERVAL_MS = 15;
 
@@ -193,6 +199,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, { endpointId, timeLeftMs, resumeAfterEventId }),
         body: request.body,
+        ...this.silenceLimit(),
       },
       {
         onHead: (head) => {
@@ -220,6 +227,14 @@
     return result;
   }
 
+  /** Only a stream that may go on elsewhere is given up because its endpoint is silent. */
+  private silenceLimit(): { readonly silenceLimitMs?: number } {
+    const { targetMs, longestPauseMs } = this.task.route;
+    if (!this.plan.mayGoOnElsewhere) return {};
+    const lateMs = Math.max(targetMs, longestPauseMs);
+    return { silenceLimitMs: Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * lateMs) };
+  }
+
   /** A stream that goes on elsewhere keeps the head of its first endpoint. */
   private sendHead(): void {
     if (this.headSent || this.pendingHead === undefined) return;
--- a/packages/forwarding/src/request-plan.test.ts
+++ b/packages/forwarding/src/request-plan.test.ts
@@ -31,6 +31,16 @@
 }
 
 describe('request plan', () => {
+  test(title('only a resumable stream with attempts left may go on elsewhere'), (t) => {
+    const given = { kind: 'stream', isResumable: true, maxAttempts: 2, deadlineMs: 100 } as const;
+    const plan = new RequestPlan(given);
+    t.true(plan.mayGoOnElsewhere);
+    plan.after({ kind: 'brokeOff', reason: 'r' }, 0);
+    t.false(plan.mayGoOnElsewhere, 'the second send is the last');
+    t.false(new RequestPlan({ ...given, isResumable: false }).mayGoOnElsewhere);
+    t.false(new RequestPlan({ ...given, maxAttempts: 1 }).mayGoOnElsewhere);
+  });
+
   test(title('what is refused as not run has not run, and what may run once runs once'), (t) => {
     fc.assert(
       fc.property(options, steps, (given, all) => {
--- a/packages/forwarding/src/request-plan.ts
+++ b/packages/forwarding/src/request-plan.ts
@@ -20,11 +20,11 @@
   /** The endpoint said that it did not run the request. */
   | { readonly kind: 'refused'; readonly status: number }
   /** Sent, but no usable answer came: it may have run. */
-  | { readonly kind: 'lost'; readonly reason: string }
+  | { readonly kind: 'lost'; readonly reason: string; readonly isSilence?: boolean }
   /** The endpoint answered with a failure of its own. */
   | { readonly kind: 'failed'; readonly status: number }
-  /** The answer began and broke off. */
-  | { readonly kind: 'brokeOff'; readonly reason: string };
+  /** The answer began and broke off. `isSilence`: it was given up because nothing came. */
+  | { readonly kind: 'brokeOff'; readonly reason: string; readonly isSilence?: boolean };
 
 /** What to do next. */
 export type PlanStep =
@@ -73,6 +73,12 @@
     return this.mayHaveRun;
   }
 
+  /** Whether, once sent, the request may still go on at another endpoint after this one. */
+  get mayGoOnElsewhere(): boolean {
+    const { kind, isResumable, maxAttempts } = this.options;
+    return kind === 'stream' && isResumable && this.runCount + 1 < maxAttempts;
+  }
+
   /** Time left, in whole milliseconds. */
   timeLeftMs(nowMs: number): number {
     return Math.max(0, Math.floor(this.options.deadlineMs - nowMs));
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -158,7 +158,7 @@
       result.kind === 'ended' &&
       result.outcome.kind !== 'refused' &&
       result.outcome.kind !== 'failed';
-    if (!isFailure) {
+    if (!isFailure || this.mayBeWaiting(endpointId, result)) {
       this.directory.inconclusive(endpointId);
       return;
     }
@@ -194,6 +194,15 @@
     return this.routing.choose(candidates, availabilityZone);
   }
 
+  /** Silence says nothing of an endpoint that has more requests than it runs at once. */
+  private mayBeWaiting(endpointId: string, result: SendResult): boolean {
+    if (result.kind !== 'ended' || !('isSilence' in result.outcome)) return false;
+    const known = this.directory.get(endpointId);
+    if (known === undefined) return false;
+    const { online, batch, slots } = this.candidateOf(known, this.options.nowMs());
+    return online + batch >= slots;
+  }
+
   private change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
     this.loads.change(endpointId, kind, by);
     this.options.onLoadChange(endpointId);
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -12,6 +12,12 @@
 } from '@shedline/forwarding';
 import type { ItemProgress, ItemRef } from '@shedline/whole-jobs';
 
+/**
+ * Silence after which an item goes on elsewhere. A free slot begins to answer within a tenth of a
+ * second; what is lost is what the endpoint made and did not send.
+ */
+const SILENCE_LIMIT_MS = 1500;
+
 /** Options of {@link ItemRun}. */
 export interface ItemRunOptions {
   /** Number of the run in this process. */
@@ -62,6 +68,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, terms),
         body: request.body,
+        silenceLimitMs: SILENCE_LIMIT_MS,
       },
       {
         onHead: () => undefined,
