--- a/packages/soak/src/fleet-wire.ts
+++ b/packages/soak/src/fleet-wire.ts
@@ -49,7 +49,8 @@
 /** The form in which a fleet is spoken to. */
 export interface FleetWire {
   readonly settingsVariable: string;
-  programOf(role: Role): string;
+  /** File of the program of a role. */
+  readonly programOf: (role: Role) => string;
   settingsOf(place: Place, options: SettingsOptions & { readonly seeds: readonly Place[] }): object;
   /** A connection of a caller that is kept over its requests. */
   openCaller(entry: Place): SoakCaller;
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -48,6 +48,19 @@
 const OBEY_WITHIN_MS = 2500;
 const CANCEL_WITHIN_MS = 3000;
 
+/**
+ * Promises that name a time: a machine that is much too busy may break them by itself. All others
+ * hold however slow everything is.
+ */
+export const TIMED_PROMISES: ReadonlySet<string> = new Set([
+  'nothing is cut in calm',
+  'leaving endpoints get no work',
+  'ended jobs stop',
+  'service comes back',
+  'accepted items complete',
+  'configurations are readable',
+]);
+
 interface RequestNote {
   /** Entry that the caller sent it to. */
   readonly entry: string;
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -166,7 +166,7 @@
     return new ProcessSet({
       folder,
       places: this.places,
-      programOf: (role) => wire.programOf(role),
+      programOf: wire.programOf,
       settingsVariable: wire.settingsVariable,
       settingsOf: (place, settings) => wire.settingsOf(place, { ...settings, seeds }),
     });
