--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -36,6 +36,13 @@
 const NOT_READY_RETRY_MS = 300;
 /** Time before the end of the process at which connections are closed. */
 const STOP_MARGIN_MS = 700;
+/**
+ * Time before that from which new requests are refused as not run, so that those under way can
+ * end: callers may go on using their connections until the process is gone.
+ */
+const REFUSE_BEFORE_END_MS = 1500;
+/** When a caller that is refused at the end of a planned stop should come back, elsewhere. */
+const STOPPING_RETRY_MS = 100;
 /** Times an address answer that callers keep the answer for; some keep it for three. */
 const KEPT_ANSWERS = 1.5;
 
@@ -76,6 +83,8 @@
   private readonly runner: ItemRunner;
   private timer: NodeJS.Timeout | undefined;
   private draining = false;
+  /** The last part of a planned stop: nothing new is begun. */
+  private isClosing = false;
   private openRequests = 0;
   private readonly startedAtMs: number;
 
@@ -188,6 +197,10 @@
   /** Forwards a request; its answer goes into the sink. */
   async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
     const { caller, host, timeLeftMs } = incoming;
+    if (this.isClosing) {
+      this.refuseStopping(caller.requestId, sink);
+      return;
+    }
     const { routes } = this.follower.fleet;
     const route = routes?.find(host, caller.path);
     if (routes === undefined || route === undefined) {
@@ -233,7 +246,12 @@
     const keptMs = this.settings.addressKeepS * 1000 * KEPT_ANSWERS;
     const untilMs = beganMs + this.settings.stopWithinS * 1000 - STOP_MARGIN_MS;
     await pause(Math.min(keptMs, Math.max(0, untilMs - this.nowMs())));
-    while (this.openRequests > 0 && this.nowMs() < untilMs) await pause(POLL_MS);
+    const refuseFromMs = untilMs - REFUSE_BEFORE_END_MS;
+    while (this.openRequests > 0 && this.nowMs() < untilMs) {
+      this.isClosing = this.nowMs() >= refuseFromMs;
+      await pause(POLL_MS);
+    }
+    this.isClosing = true;
     await Promise.race([handedBack, pause(Math.max(0, untilMs - this.nowMs()))]);
     this.logger.info('drained', { step: 'stop', cutRequests: this.openRequests });
   }
@@ -249,6 +267,11 @@
     await this.core.stop();
   }
 
+  private refuseStopping(request: string, sink: AnswerSink): void {
+    this.logger.info('request refused', { step: 'stop', request, outcome: 503 });
+    sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
+  }
+
   private refuseUnrouted({ caller, host }: IncomingRequest, sink: AnswerSink): void {
     const version = this.follower.fleet.position.version;
     const status = this.knowsRoutes ? 404 : 503;
