Spend less on what nobody asked: pings, asks for items, a divided fleet looked at anew

A profile of one of 40 entries: pings on links that carry words one way only, the fleet divided anew at each answer of a control process, every entry asking the one leader for items each 60 to 200 ms, and 50 ms in the HTTP client to compile an expression that looks whether the Host header is an IP number, at the first request of each process. Change: a ping only after 1.1 s of silence; divided anew when an endpoint is new, and each second; asks for items slow down with the number of entries beyond 16; the client is told the server name that it would look for.

--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT_MS = 180;
 /** Time that an idle connection is kept, unless the endpoint says less. */
 const IDLE_CONNECTION_MS = 4000;
+/** Stands for the name of a server that is not asked for its certificate. */
+const NO_SERVER_NAME = 'none';
 /** Largest body of a failure that is kept to be passed on. */
 const MAX_FAILURE_BYTES = 1024 * 1024;
 
@@ -85,13 +87,16 @@
   /** Begins a send. */
   send(send: Send, receiver: SendReceiver): RunningSend {
     const running = new SendHandler(this.protocol, send, receiver);
-    const options: Dispatcher.DispatchOptions = {
+    const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
       method: send.method,
       path: send.path,
       headers: [...send.headers],
       body: send.body.length === 0 ? null : send.body,
       headersTimeout: 0,
       bodyTimeout: 0,
+      // For TLS only. Left out, the client looks whether the Host header is an IP number, by an
+      // expression that takes 50 ms to compile when the first request comes.
+      servername: NO_SERVER_NAME,
     };
     this.poolOf(send.address).dispatch(options, running);
     return running;
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -57,14 +57,17 @@
     this.routing = new SlotRouting({ random: options.random });
   }
 
-  /** Takes heartbeats. */
-  hear(heartbeats: readonly AgedHeartbeat[]): void {
+  /** Takes heartbeats; true where some endpoint was not known before. */
+  hear(heartbeats: readonly AgedHeartbeat[]): boolean {
     const nowMs = this.options.nowMs();
+    let isAnyNew = false;
     for (const { heartbeat, ageMs } of heartbeats) {
+      isAnyNew ||= !this.addresses.has(heartbeat.endpointId);
       const isLeaving = this.options.isLeaving(heartbeat.endpointId);
       this.directory.observe(announcementOf(heartbeat, isLeaving), ageMs, nowMs);
       this.addresses.set(heartbeat.endpointId, heartbeat.address);
     }
+    return isAnyNew;
   }
 
   /** Endpoints that leave take nothing from now on. */
@@ -96,7 +99,11 @@
 
   /** Endpoints of a service in reach that may take work now. */
   usableInReach(service: string): SlotCandidate[] {
-    return this.usable(service).filter(({ endpointId }) => this.options.isInReach(endpointId));
+    const nowMs = this.options.nowMs();
+    return this.directory
+      .forService(service, nowMs)
+      .filter(({ announcement }) => this.options.isInReach(announcement.endpointId))
+      .map((known) => this.candidateOf(known, nowMs));
   }
 
   /** Endpoints that are up and do not leave, whether or not they take work now. */
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -134,6 +134,7 @@
       logger,
       nowMs: this.nowMs,
       usersOf,
+      entryCount: () => this.reach.entryCount,
     });
     this.addGauges();
   }
@@ -320,8 +321,7 @@
       logger: this.logger,
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
-        this.pool.hear(heartbeats);
-        this.refreshReach();
+        if (this.pool.hear(heartbeats)) this.refreshReach();
       },
       onLeaving: (endpointIds) => {
         this.pool.markLeaving(endpointIds);
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -182,6 +182,7 @@
     logger: createLogger({ level: 'silent' }),
     nowMs,
     usersOf: () => ['entry'],
+    entryCount: () => 1,
   });
 }
 
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -18,9 +18,11 @@
 
 /** Time between looks at the slots. */
 const TICK_MS = 40;
-/** Time between requests for items while some wait, and while none do. */
+/** Time between requests for items while some wait, and while none do, in a small fleet. */
 const ASK_INTERVAL_MS = 60;
 const IDLE_ASK_INTERVAL_MS = 200;
+/** Entries up to which each asks that often; in larger fleets all together do not ask more. */
+const ENTRIES_ASKING_AT_FULL_RATE = 16;
 const ASK_TIMEOUT_MS = 1000;
 const RENEW_INTERVAL_MS = 1000;
 const RENEW_TIMEOUT_MS = 1500;
@@ -52,6 +54,8 @@
   readonly nowMs: () => number;
   /** Names of the entries that may run batch work at an endpoint. */
   readonly usersOf: (endpointId: string) => readonly string[];
+  /** Entries that run batch work, this one included. */
+  readonly entryCount: () => number;
 }
 
 /** What is known of the jobs under one quota key. */
@@ -209,8 +213,7 @@
   private async ask(route: Route, maxItems: number): Promise<void> {
     const { stores, fleet, holder, logger, nowMs } = this.options;
     const state = this.stateOf(route);
-    const intervalMs = state.waitingItems > 0 ? ASK_INTERVAL_MS : IDLE_ASK_INTERVAL_MS;
-    const isEarly = nowMs() - state.askedAtMs < intervalMs;
+    const isEarly = nowMs() - state.askedAtMs < this.askIntervalMs(state);
     if (isEarly || state.isAsking || this.draining || fleet.storeCluster === undefined) return;
     const group = jobGroupOf(route.host, fleet.storeCluster.jobGroupCount);
     const { runMs, runEvents } = state;
@@ -230,6 +233,11 @@
     }
   }
 
+  private askIntervalMs({ waitingItems }: RouteState): number {
+    const intervalMs = waitingItems > 0 ? ASK_INTERVAL_MS : IDLE_ASK_INTERVAL_MS;
+    return intervalMs * Math.max(1, this.options.entryCount() / ENTRIES_ASKING_AT_FULL_RATE);
+  }
+
   /** Starts what was granted where there is still room; the rest goes back. */
   private startAll(group: number, items: readonly GrantedItem[], route: Route): void {
     const free = this.draining ? new Map<string, number>() : this.freeSlots(route);
--- a/packages/gateway/src/reach-keeper.ts
+++ b/packages/gateway/src/reach-keeper.ts
@@ -20,6 +20,7 @@
   private reach = new Reach({ entries: [], endpoints: [] });
   private own: ReadonlySet<string> = new Set();
   private key = '';
+  private entries = 1;
 
   constructor(options: ReachKeeperOptions) {
     this.options = options;
@@ -32,6 +33,7 @@
     const key = `${namesOf(entries)}#${namesOf(endpoints)}`;
     if (key === this.key) return false;
     this.key = key;
+    this.entries = entries.length;
     this.reach = new Reach({ entries, endpoints });
     this.own = new Set(this.reach.endpointsOf(this.options.self));
     return true;
@@ -47,6 +49,11 @@
     return this.reach.entriesOf(endpointId);
   }
 
+  /** Entries that serve, this one included. */
+  get entryCount(): number {
+    return this.entries;
+  }
+
   /** Other entries that share endpoints with this one. */
   get peers(): readonly string[] {
     return this.reach.peersOf(this.options.self);
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -11,10 +11,12 @@
 /** Unsent bytes at which one-way messages are dropped; the senders repeat what matters. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 3000;
-/** Silence after which a peer is asked for a sign of life. */
-const PING_INTERVAL_MS = 700;
+/** Time between looks whether a peer is silent. */
+const SILENCE_CHECK_MS = 700;
+/** Silence after which a peer is asked for a sign of life; most peers say something each second. */
+const PING_AFTER_MS = 1100;
 /** Silence after which a peer counts as gone; a host without power closes no connection. */
-const SILENCE_LIMIT_MS = 2500;
+const SILENCE_LIMIT_MS = 2800;
 
 type Frame =
   | ['hello', Hello]
@@ -183,7 +185,7 @@
     this.lastHeardMs = performance.now();
     this.pingTimer = setInterval(() => {
       this.checkSilence();
-    }, PING_INTERVAL_MS);
+    }, SILENCE_CHECK_MS);
     this.options.onReady(this);
   }
 
@@ -222,7 +224,7 @@
       return;
     }
     // What the peer itself asked or sent in the meantime is sign enough.
-    if (silentMs < PING_INTERVAL_MS / 2) return;
+    if (silentMs < PING_AFTER_MS) return;
     if (this.socket.readyState === this.socket.OPEN) this.socket.ping();
   }
 
