--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -40,6 +40,8 @@
 /** Rubbish of a torn write. */
 const TORN_BYTES = Buffer.alloc(37, 0xa5);
 const POLL_MS = 20;
+/** Log line of a process that begins to lead the lowest group of its role. */
+const LEADS_FIRST_GROUP = /"group":[01],.*"leads group"/;
 
 /** The processes. */
 export class ProcessSet {
@@ -49,6 +51,8 @@
   /** Processes that ended without being told to. */
   readonly ownEnds: string[] = [];
   private readonly told = new Set<ChildProcess>();
+  /** Who last began to lead the first group of its role. */
+  private readonly lastLeaders = new Map<Role, string>();
   /** Processes that have logged something. */
   private readonly speaking = new WeakSet<ChildProcess>();
 
@@ -56,6 +60,11 @@
     this.options = options;
   }
 
+  /** The process that last began to lead the first group of a role. */
+  leaderOf(role: Role): string | undefined {
+    return this.lastLeaders.get(role);
+  }
+
   /** Names of the processes that run. */
   isRunning(name: string): boolean {
     return this.running.has(name);
@@ -132,7 +141,10 @@
     const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    child.stdout.once('data', () => this.speaking.add(child));
+    child.stdout.on('data', (bytes: Buffer) => {
+      this.speaking.add(child);
+      if (LEADS_FIRST_GROUP.test(bytes.toString())) this.lastLeaders.set(place.role, name);
+    });
     this.running.set(name, child);
     child.once('exit', (code, signal) => {
       if (!this.told.has(child)) this.ownEnds.push(`${name} (${code ?? signal ?? 'unknown'})`);
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -271,7 +271,7 @@
   }
 
   private async harmFor(name: string, forMs: number, harm: Harm, both: boolean): Promise<void> {
-    const place = this.places.find((candidate) => candidate.name === name);
+    const place = this.worstPlaceFor(name);
     const host = place?.processHost ?? '';
     this.harmIn.set(host, harm);
     if (both) this.harmOut.set(host, harm);
@@ -282,6 +282,13 @@
     this.harmOut.delete(host);
   }
 
+  /** Of control processes and stores the one that leads: it has the most to do wrong. */
+  private worstPlaceFor(name: string): Place | undefined {
+    const planned = this.places.find((candidate) => candidate.name === name);
+    const leader = planned === undefined ? undefined : this.processes.leaderOf(planned.role);
+    return this.places.find((candidate) => candidate.name === leader) ?? planned;
+  }
+
   private async killAll(forMs: number): Promise<void> {
     const names = this.places.map(({ name }) => name).filter((n) => this.processes.isRunning(n));
     await Promise.all(names.map((name) => this.processes.end(name, 'SIGKILL')));
