--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -69,46 +69,20 @@
 
 /** Faults that cut nothing if the programs keep their word. */
 const PLANNED: ReadonlySet<FaultKind> = new Set(['stop', 'reload', 'endpointLeave']);
-/** Names of all kinds, for whoever chooses some. */
-export const FAULT_KINDS: readonly FaultKind[] = [
+const COMMON_KINDS: readonly FaultKind[] = [
   'kill',
   'stop',
   'pause',
-  'reload',
   'silence',
   'silenceIn',
   'delay',
   'reset',
-  'wipe',
-  'tornTail',
-  'killAll',
-  'endpointCrash',
-  'endpointHang',
-  'endpointLeave',
-];
-const DISK_KINDS: readonly FaultKind[] = [
-  'kill',
-  'stop',
-  'pause',
-  'silence',
-  'silenceIn',
-  'delay',
-  'reset',
-  'wipe',
-  'tornTail',
-  'reload',
-];
-const ENTRY_KINDS: readonly FaultKind[] = [
-  'kill',
-  'stop',
-  'pause',
-  'silence',
-  'silenceIn',
-  'delay',
-  'reset',
-  'reload',
 ];
+const ENTRY_KINDS: readonly FaultKind[] = [...COMMON_KINDS, 'reload'];
+const DISK_KINDS: readonly FaultKind[] = [...COMMON_KINDS, 'wipe', 'tornTail', 'reload'];
 const ENDPOINT_KINDS: readonly FaultKind[] = ['endpointCrash', 'endpointHang', 'endpointLeave'];
+/** All kinds, for whoever chooses some. */
+export const FAULT_KINDS: readonly FaultKind[] = [...DISK_KINDS, 'killAll', ...ENDPOINT_KINDS];
 /** Time after a fault in which a process still catches up, and counts as out. */
 export const CATCH_UP_MS = 5000;
 /** Longest pause between two faults; many overlap. */
