--- a/packages/control-client/src/leader-caller.ts
+++ b/packages/control-client/src/leader-caller.ts
@@ -28,18 +28,22 @@
   readonly ports: () => readonly CallPort[];
   /** Longest wait for one process before another is asked. */
   readonly maxAttemptMs?: number;
+  /** Longest pause between two attempts. */
+  readonly maxPauseMs?: number;
 }
 
 /** {@link GroupCaller} that follows the leaders. */
 export class LeaderCaller implements GroupCaller {
   private readonly ports: () => readonly CallPort[];
   private readonly maxAttemptMs: number;
+  private readonly maxPauseMs: number;
   private readonly leaders = new Map<number, string>();
   private nextPort = 0;
 
   constructor(options: LeaderCallerOptions) {
     this.ports = options.ports;
     this.maxAttemptMs = options.maxAttemptMs ?? MAX_ATTEMPT_MS;
+    this.maxPauseMs = options.maxPauseMs ?? MAX_PAUSE_MS;
   }
 
   /** Calls until the leader has answered, a failure is final, or the time is up. */
@@ -60,7 +64,7 @@
         if (final) throw withRan(failure, ran);
         if (!this.follow(group, failure)) {
           await pause(pauseMs);
-          pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS);
+          pauseMs = Math.min(pauseMs * 2, this.maxPauseMs);
         }
       }
     }
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -161,7 +161,10 @@
 
   /** Takes a heartbeat of an endpoint and passes it on. */
   takeHeartbeat(heartbeat: EndpointHeartbeat): void {
+    const isNew = !this.register.has(heartbeat.endpointId);
     if (!this.register.hear(heartbeat, 0, this.nowMs())) return;
+    // Others ask for what is known at short intervals; only news is worth a message to each.
+    if (isNew) this.core.broadcast('heartbeats', [{ heartbeat, ageMs: 0 }]);
     for (const control of this.core.mesh.controls.ready) {
       control.send('heartbeats', [{ heartbeat, ageMs: 0 }]);
     }
--- a/packages/fleet-control/src/endpoint-memory.ts
+++ b/packages/fleet-control/src/endpoint-memory.ts
@@ -4,10 +4,9 @@
  * read back counts as one heartbeat old, so an endpoint that is gone is soon forgotten; a
  * request that reaches another run at its address is refused by that.
  */
-import { readFile, rename, writeFile } from 'node:fs/promises';
-import { join } from 'node:path';
 import type { EndpointHeartbeat, EndpointRegister } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
+import { NodeFileSystem } from '@shedline/storage';
 
 const FILE = 'endpoints.json';
 /** Half of the time between heartbeats of an endpoint on the users' platform. */
@@ -22,17 +21,20 @@
   readonly nowMs: () => number;
 }
 
-/** The file with the endpoints heard of. It is a hint only, so it is never synced. */
+/**
+ * The file with the endpoints heard of. It is synced, since it is needed most after a loss of
+ * power; it changes only when an endpoint comes or goes.
+ */
 export class EndpointMemory {
   private readonly options: EndpointMemoryOptions;
-  private readonly file: string;
+  private readonly files: NodeFileSystem;
   private savedNames = '';
   private isSaving = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointMemoryOptions) {
     this.options = options;
-    this.file = join(options.dataDir, FILE);
+    this.files = new NodeFileSystem(options.dataDir);
   }
 
   /** Reads what an earlier run of the process heard. */
@@ -61,13 +63,12 @@
     if (names === this.savedNames || this.isSaving) return;
     this.isSaving = true;
     try {
-      const aside = `${this.file}.new`;
-      await writeFile(aside, JSON.stringify(heartbeats.map(({ heartbeat }) => heartbeat)));
-      await rename(aside, this.file);
+      const text = JSON.stringify(heartbeats.map(({ heartbeat }) => heartbeat));
+      await this.files.replace(FILE, Buffer.from(text));
       this.savedNames = names;
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      logger.info('endpoints not saved', { step: 'save endpoints', peer: this.file, reason });
+      logger.info('endpoints not saved', { step: 'save endpoints', peer: FILE, reason });
     } finally {
       this.isSaving = false;
     }
@@ -75,7 +76,7 @@
 
   private async read(): Promise<EndpointHeartbeat[]> {
     try {
-      const parsed: unknown = JSON.parse(await readFile(this.file, 'utf8'));
+      const parsed: unknown = JSON.parse((await this.files.read(FILE)).toString());
       if (!Array.isArray(parsed)) throw new Error('not a list');
       return parsed.filter(isHeartbeat);
     } catch (error) {
@@ -83,7 +84,7 @@
       const reason = error instanceof Error ? error.message : String(error);
       this.options.logger.info('no endpoints of an earlier run', {
         step: 'start',
-        peer: this.file,
+        peer: FILE,
         reason,
       });
       return [];
--- a/packages/fleet/src/endpoint-register.ts
+++ b/packages/fleet/src/endpoint-register.ts
@@ -52,6 +52,11 @@
     this.epoch = epoch;
   }
 
+  /** Whether an endpoint was heard of lately. */
+  has(endpointId: string): boolean {
+    return this.heard.has(endpointId);
+  }
+
   /** Takes a heartbeat made `ageMs` ago; false where a newer one is known. */
   hear(heartbeat: EndpointHeartbeat, ageMs: number, nowMs: number): boolean {
     const known = this.heard.get(heartbeat.endpointId);
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -14,9 +14,12 @@
 
 /** Time between looks; a change is in force well within the two seconds that operators allow. */
 const REFRESH_INTERVAL_MS = 300;
+/** Time between the first looks for endpoints; grows until it is the usual one. */
+const FIRST_LOOK_PAUSE_MS = 40;
+const LOOK_PAUSE_GROWTH = 1.25;
 const REFRESH_TIMEOUT_MS = 700;
 const FIRST_READ_TIMEOUT_MS = 1500;
-const FIRST_READ_PAUSE_MS = 100;
+const FIRST_READ_PAUSE_MS = 20;
 /** Control processes asked at each look: one that is cut off must not hide what is new. */
 const ASKED_AT_ONCE = 2;
 
@@ -28,6 +31,8 @@
   readonly nowMs: () => number;
   readonly onHeartbeats: (heartbeats: readonly AgedHeartbeat[]) => void;
   readonly onLeaving: (endpointIds: readonly string[]) => void;
+  /** Called when other routes are in force. */
+  readonly onRoutes: () => void;
 }
 
 /** What an entry knows of the fleet, and how fresh it is. */
@@ -40,6 +45,9 @@
   private turn = 0;
   private stopped = false;
   private lastAnswerMs = -Infinity;
+  /** Whether the quorum was asked; a control process alone may lag behind what is acknowledged. */
+  private isCurrent = false;
+  private hasEndpoints = false;
 
   constructor(options: FleetFollowerOptions) {
     this.options = options;
@@ -52,7 +60,9 @@
 
   /** Reads the state through the quorum, then goes on to follow it. */
   async start(): Promise<void> {
+    void this.lookForEndpoints();
     await this.readCurrent();
+    this.isCurrent = true;
     this.timer = setInterval(() => {
       this.refresh();
     }, REFRESH_INTERVAL_MS);
@@ -72,12 +82,29 @@
     if (routesChanged) {
       const { version } = this.fleet.position;
       logger.info('configuration in force', { step: 'configure', version, peer: from });
+      this.options.onRoutes();
     }
     if (newlyLeaving.length === 0) return;
     logger.info('endpoints leave', { step: 'leave', endpoints: newlyLeaving, peer: from });
     this.options.onLeaving(newlyLeaving);
   }
 
+  /** Takes heartbeats, pushed or asked for. */
+  takeHeartbeats(heartbeats: readonly AgedHeartbeat[]): void {
+    this.hasEndpoints ||= heartbeats.length > 0;
+    this.options.onHeartbeats(heartbeats);
+  }
+
+  /** Endpoints are asked for while the routes are not known yet: both are needed to serve. */
+  private async lookForEndpoints(): Promise<void> {
+    let pauseMs = FIRST_LOOK_PAUSE_MS;
+    while (!this.stopped && !this.hasEndpoints && pauseMs < REFRESH_INTERVAL_MS) {
+      this.refresh();
+      await pause(pauseMs);
+      pauseMs *= LOOK_PAUSE_GROWTH;
+    }
+  }
+
   private async readCurrent(): Promise<void> {
     while (!this.stopped) {
       try {
@@ -118,9 +145,9 @@
       const raw = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
       const { delta, endpoints } = raw as RefreshAnswer;
       this.lastAnswerMs = this.options.nowMs();
-      this.take(delta, peerName);
+      if (this.isCurrent) this.take(delta, peerName);
       this.cursors.set(peerName, { epoch: endpoints.epoch, cursor: endpoints.cursor });
-      this.options.onHeartbeats(endpoints.heartbeats);
+      this.takeHeartbeats(endpoints.heartbeats);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       this.options.logger.debug('no news', { step: 'refresh', peer: peerName, reason });
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -7,7 +7,7 @@
 import { LeaderCaller } from '@shedline/control-client';
 import type { Placed } from '@shedline/directory';
 import { chooseService } from '@shedline/fleet';
-import type { CallerLimits, FleetDelta, Route } from '@shedline/fleet';
+import type { AgedHeartbeat, CallerLimits, FleetDelta, Route } from '@shedline/fleet';
 import { ProcessCore, portsOf } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
 import { EndpointSender, Forwarder } from '@shedline/forwarding';
@@ -23,16 +23,20 @@
 import { JobDesk } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
 import { ReachKeeper } from './reach-keeper.js';
+import { StartGate } from './start-gate.js';
+import type { Leaver } from './start-gate.js';
 
 const SWEEP_INTERVAL_MS = 1000;
+/** Longest wait for one control process at the first read before another is asked. */
+const MAX_CONTROL_ATTEMPT_MS = 500;
+/** Longest pause between questions at the first read: callers wait for its answer. */
+const MAX_CONTROL_PAUSE_MS = 40;
 const POLL_MS = 20;
 /** Most addresses in one answer. */
 const MAX_ADDRESSES = 64;
 /** Entries in the caller's zone from which the answer leaves the other zones out. */
 const ENOUGH_IN_ZONE = 2;
-/** Time from its start in which an entry usually learns routes and endpoints; measured 0.2 to 0.4 s. */
-const USUAL_START_MS = 700;
-/** Shortest time after which a caller should come back to an entry that is not ready. */
+/** When a caller should come back that was not served while the entry started, elsewhere. */
 const NOT_READY_RETRY_MS = 300;
 /** Time before the end of the process at which connections are closed. */
 const STOP_MARGIN_MS = 700;
@@ -86,7 +90,7 @@
   /** The last part of a planned stop: nothing new is begun. */
   private isClosing = false;
   private openRequests = 0;
-  private readonly startedAtMs: number;
+  private readonly startGate: StartGate;
 
   constructor(options: GatewayProcessOptions) {
     const { settings, protocol, logger } = options;
@@ -94,8 +98,11 @@
     this.logger = logger;
     this.random = options.random ?? Math.random;
     this.nowMs = options.nowMs ?? (() => performance.now());
-    this.startedAtMs = this.nowMs();
     this.core = this.createCore();
+    this.startGate = new StartGate({
+      nowMs: this.nowMs,
+      othersReady: () => this.servingEntries().length > 1,
+    });
     const { name } = this.core;
     this.entries = this.core.createPeerBook();
     this.stores = this.core.createPeerBook({
@@ -190,6 +197,11 @@
     return (this.follower.fleet.routes?.jobRoutes(host).length ?? 0) > 0;
   }
 
+  /** Resolves once a caller's request can be decided: while the entry starts, it waits. */
+  async untilStarted(caller: Leaver): Promise<void> {
+    if (!this.knowsRoutes) await this.startGate.pass(caller);
+  }
+
   /** Whether the routes are known. */
   get knowsRoutes(): boolean {
     return this.follower.fleet.routes !== undefined;
@@ -285,12 +297,7 @@
       outcome: status,
     });
     if (status === 404) sink.refuse(404, {});
-    else sink.refuse(503, { retryAfterMs: this.readyInMs() });
-  }
-
-  /** Time until this entry will probably serve, so that a caller does not come back too early. */
-  private readyInMs(): number {
-    return Math.max(NOT_READY_RETRY_MS, this.startedAtMs + USUAL_START_MS - this.nowMs());
+    else sink.refuse(503, { retryAfterMs: NOT_READY_RETRY_MS });
   }
 
   private createCore(): ProcessCore {
@@ -317,12 +324,19 @@
     const { controls } = this.core.mesh;
     return new FleetFollower({
       controls,
-      caller: new LeaderCaller({ ports: () => portsOf(controls), maxAttemptMs: 500 }),
+      caller: new LeaderCaller({
+        ports: () => portsOf(controls),
+        maxAttemptMs: MAX_CONTROL_ATTEMPT_MS,
+        maxPauseMs: MAX_CONTROL_PAUSE_MS,
+      }),
       logger: this.logger,
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
         if (this.pool.hear(heartbeats)) this.refreshReach();
       },
+      onRoutes: () => {
+        this.startGate.open();
+      },
       onLeaving: (endpointIds) => {
         this.pool.markLeaving(endpointIds);
         this.refreshReach();
@@ -349,6 +363,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_open_requests', () => this.openRequests);
+    this.metrics.gauge('shedline_held_at_start', () => this.startGate.waitingCount);
     this.metrics.gauge('shedline_running_items', () => this.runner.runningCount);
     this.metrics.gauge(
       'shedline_configuration_version',
@@ -366,6 +381,7 @@
 
   private onMessage(method: string, payload: unknown, from: string): void {
     if (method === 'fleetNews') this.follower.take(payload as FleetDelta, from);
+    if (method === 'heartbeats') this.follower.takeHeartbeats(payload as AgedHeartbeat[]);
     if (method === 'loads') this.pool.hearLoads(from, payload as LoadCount[]);
     if (method === 'slotWanted') this.runner.slotWanted(payload as string);
   }
