--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -8,3 +8,5 @@
 export * from './retry-budget.js';
 export * from './retry-decision.js';
 export * from './row-limits.js';
+export * from './caller-patience.js';
+export * from './wait-estimate.js';
--- /dev/null
+++ b/packages/admission/src/wait-estimate.test.ts
@@ -0,0 +1,91 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { describe, title } from '@shedline/test-utils';
+import { CallerPatience } from './caller-patience.js';
+import { WaitEstimate, compareTurns } from './wait-estimate.js';
+import type { WaitingRequest } from './wait-estimate.js';
+
+const waiting = fc.record({
+  rank: fc.nat(3),
+  onTimeUntilMs: fc.nat(2000),
+  deadlineMs: fc.nat(9000),
+});
+
+function estimateOf(runMs: number): WaitEstimate {
+  const estimate = new WaitEstimate();
+  estimate.completed(runMs);
+  return estimate;
+}
+
+describe('turns', () => {
+  test(title('are an order: what comes first does not depend on who asks'), (t) => {
+    fc.assert(
+      fc.property(fc.array(waiting, { maxLength: 20 }), fc.nat(2000), (requests, nowMs) => {
+        const once = [...requests].sort((a, b) => compareTurns(a, b, nowMs));
+        const again = [...requests].reverse().sort((a, b) => compareTurns(a, b, nowMs));
+        for (const [index, request] of once.entries()) {
+          const other = again[index];
+          if (other === undefined || compareTurns(request, other, nowMs) !== 0) return false;
+        }
+        return true;
+      }),
+    );
+    t.pass();
+  });
+
+  test(title('a request that is late already lets those pass that can be on time'), (t) => {
+    const late = { rank: 0, onTimeUntilMs: 100, deadlineMs: 400 };
+    const soon = { rank: 0, onTimeUntilMs: 250, deadlineMs: 5000 };
+    const fresh = { rank: 0, onTimeUntilMs: 300, deadlineMs: 5000 };
+    const lessUrgent = { rank: 1, onTimeUntilMs: 210, deadlineMs: 300 };
+    const order = [lessUrgent, late, fresh, soon].sort((a, b) => compareTurns(a, b, 200));
+    t.deepEqual(order, [soon, fresh, late, lessUrgent]);
+  });
+});
+
+describe('WaitEstimate', () => {
+  test(title('waits grow with the position and the sharers, and shrink with the slots'), (t) => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 60_000 }), fc.nat(50), (runMs, position) => {
+        const estimate = estimateOf(runMs);
+        const few = { slots: 4, sharers: 1 };
+        return (
+          estimate.waitMs(position + 1, few) > estimate.waitMs(position, few) &&
+          estimate.waitMs(position, { slots: 4, sharers: 5 }) > estimate.waitMs(position, few) &&
+          estimate.waitMs(position, { slots: 400, sharers: 1 }) < estimate.waitMs(position, few)
+        );
+      }),
+    );
+    t.pass();
+  });
+
+  test(title('gives up what would be over before its turn, at any length of work'), (t) => {
+    for (const runMs of [5, 600, 45_000]) {
+      const estimate = estimateOf(runMs);
+      const capacity = { slots: 10, sharers: 2 };
+      const request: WaitingRequest = { rank: 0, onTimeUntilMs: 0, deadlineMs: 3 * runMs };
+      t.false(estimate.isHopeless(request, 0, capacity, 0));
+      t.false(estimate.isHopeless(request, 8, capacity, 0));
+      t.true(estimate.isHopeless(request, 10, capacity, 0));
+      t.true(estimate.isHopeless(request, 0, capacity, 2 * runMs));
+    }
+  });
+
+  test(title('where nothing serves the requests, there is no end of the wait'), (t) => {
+    t.is(estimateOf(1).waitMs(0, { slots: 0, sharers: 1 }), Infinity);
+  });
+});
+
+describe('CallerPatience', () => {
+  test(title('tells callers that come back from new ones, some of them patient'), (t) => {
+    const patience = new CallerPatience();
+    t.is(patience.ageMs(700), 0);
+    for (let index = 0; index < 50; index += 1) {
+      patience.note(index % 20 === 0 ? 60_000 : 2000);
+      if (index % 5 === 0) patience.note(1400);
+    }
+    t.is(patience.ageMs(1400), 600);
+    t.is(patience.ageMs(2000), 0);
+    t.is(patience.ageMs(60_000), 0);
+  });
+});
--- /dev/null
+++ b/packages/admission/src/wait-estimate.ts
@@ -0,0 +1,74 @@
+/**
+ * Decides who of the requests that wait for an endpoint goes first, and which of them cannot be
+ * served any more, from what earlier requests needed.
+ */
+
+/** A request that waits for a free slot. */
+export interface WaitingRequest {
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Until when an answer is on time, counted from the caller's first attempt. */
+  readonly onTimeUntilMs: number;
+  /** End of the time that the caller waits. */
+  readonly deadlineMs: number;
+}
+
+/** What serves the requests that wait. */
+export interface WaitingCapacity {
+  /** Requests that all endpoints of the service run at once. */
+  readonly slots: number;
+  /** Entries that send to these endpoints, this one included. */
+  readonly sharers: number;
+}
+
+/** Weight of the newest request in the times that requests are taken to need. */
+const SMOOTHING = 0.1;
+
+/**
+ * Order of turns at `nowMs`: by rank; then those that can still be on time, the soonest late
+ * first; then those that are late already, the soonest over first. What is late loses little by
+ * a longer wait, what is on time loses most of its use.
+ */
+export function compareTurns(a: WaitingRequest, b: WaitingRequest, nowMs: number): number {
+  if (a.rank !== b.rank) return a.rank - b.rank;
+  const aIsLate = a.onTimeUntilMs <= nowMs;
+  const bIsLate = b.onTimeUntilMs <= nowMs;
+  if (aIsLate !== bIsLate) return aIsLate ? 1 : -1;
+  return aIsLate ? a.deadlineMs - b.deadlineMs : a.onTimeUntilMs - b.onTimeUntilMs;
+}
+
+/** Times that requests of one service need, and the waits that follow from them. */
+export class WaitEstimate {
+  private smoothedRunMs: number | undefined;
+
+  /** Notes how long an endpoint was at work on a request that it completed. */
+  completed(runMs: number): void {
+    this.smoothedRunMs ??= runMs;
+    this.smoothedRunMs += SMOOTHING * (runMs - this.smoothedRunMs);
+  }
+
+  /** Time that a request needs; 0 before one was seen. */
+  get runMs(): number {
+    return this.smoothedRunMs ?? 0;
+  }
+
+  /**
+   * Time until a slot opens for the request at a position of this entry's queue, counted from 0:
+   * `slots` requests end in each run time, and each sharer takes its part of the free slots.
+   */
+  waitMs(position: number, { slots, sharers }: WaitingCapacity): number {
+    if (slots === 0) return Infinity;
+    return ((position + 1) * this.runMs * Math.max(1, sharers)) / slots;
+  }
+
+  /** Whether a request at a position would be over before it could be served. */
+  isHopeless(
+    request: WaitingRequest,
+    position: number,
+    capacity: WaitingCapacity,
+    nowMs: number,
+  ): boolean {
+    const servedAtMs = nowMs + this.waitMs(position, capacity) + this.runMs;
+    return servedAtMs > request.deadlineMs;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -0,0 +1,142 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import test from 'ava';
+import { describe, title } from '@shedline/test-utils';
+import { EndpointQueue } from './endpoint-queue.js';
+import type { ChosenEndpoint, EndpointFinder, EndpointWish } from './endpoint-queue.js';
+
+const SERVICE = 's';
+
+/** Endpoints with a number of free slots each. */
+class FakeFinder implements EndpointFinder {
+  readonly knownWithinMs = 1200;
+  readonly free = new Map<string, number>();
+  slots = 0;
+
+  choose(_service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
+    for (const [endpointId, count] of this.free) {
+      if (count > 0 && !tried.has(endpointId)) return { endpointId, address: 'a:1', load: 0 };
+    }
+    return undefined;
+  }
+
+  began(endpointId: string): void {
+    this.free.set(endpointId, (this.free.get(endpointId) ?? 0) - 1);
+  }
+
+  capacity(): { slots: number; sharers: number } {
+    return { slots: this.slots, sharers: 1 };
+  }
+}
+
+interface Setup {
+  readonly finder: FakeFinder;
+  readonly queue: EndpointQueue;
+  readonly clock: { nowMs: number };
+}
+
+function setup(slots: number): Setup {
+  const finder = new FakeFinder();
+  finder.slots = slots;
+  const clock = { nowMs: 0 };
+  return { finder, clock, queue: new EndpointQueue({ finder, nowMs: () => clock.nowMs }) };
+}
+
+function wish(change: Partial<EndpointWish> = {}): EndpointWish {
+  return {
+    service: SERVICE,
+    tried: new Set(),
+    mayRepeat: true,
+    rank: 0,
+    onTimeUntilMs: 300,
+    deadlineMs: 5000,
+    ...change,
+  };
+}
+
+/** Collects the names of requests in the order in which they got an endpoint. */
+function follow(setup: Setup, wishes: Record<string, EndpointWish>): string[] {
+  const order: string[] = [];
+  for (const [name, one] of Object.entries(wishes)) {
+    void setup.queue.enter(one).endpoint.then((endpoint) => {
+      order.push(endpoint === undefined ? `${name} refused` : name);
+    });
+  }
+  return order;
+}
+
+async function settled(): Promise<void> {
+  await pause(0);
+}
+
+describe('EndpointQueue', () => {
+  test(
+    title('gives a free endpoint at once, and counts it before the next one asks'),
+    async (t) => {
+      const { finder, queue } = setup(1);
+      finder.free.set('e', 1);
+      const first = queue.enter(wish());
+      const second = queue.enter(wish());
+      t.is((await first.endpoint)?.endpointId, 'e');
+      t.is(queue.length, 1);
+      second.leave();
+      t.is(await second.endpoint, undefined);
+      t.is(queue.length, 0);
+    },
+  );
+
+  test(title('a slot that opens goes to whoever can still be on time'), async (t) => {
+    const all = setup(8);
+    all.clock.nowMs = 400;
+    const order = follow(all, {
+      late: wish({ onTimeUntilMs: 300, deadlineMs: 3000 }),
+      fresh: wish({ onTimeUntilMs: 700 }),
+      resumed: wish({ onTimeUntilMs: 600 }),
+    });
+    for (let slot = 0; slot < 3; slot += 1) {
+      all.finder.free.set('e', 1);
+      all.queue.ended(SERVICE, undefined);
+      await settled();
+    }
+    t.deepEqual(order, ['resumed', 'fresh', 'late']);
+  });
+
+  test(title('what cannot be served in its time is refused at once, the rest waits'), async (t) => {
+    const all = setup(2);
+    all.queue.ended(SERVICE, 600);
+    const order = follow(all, {
+      short: wish({ deadlineMs: 800 }),
+      long: wish({ deadlineMs: 5000 }),
+    });
+    await settled();
+    t.deepEqual(order, ['short refused']);
+    t.is(all.queue.length, 1);
+    all.clock.nowMs = 5000;
+    all.queue.ended(SERVICE, undefined);
+    t.is(all.queue.length, 0);
+  });
+
+  test(title('where no endpoint is known, waits as long as one takes to be heard'), async (t) => {
+    const all = setup(0);
+    const order = follow(all, { only: wish() });
+    await settled();
+    t.deepEqual(order, []);
+    all.clock.nowMs = all.finder.knownWithinMs;
+    all.queue.ended(SERVICE, undefined);
+    await settled();
+    t.deepEqual(order, ['only refused']);
+  });
+
+  test(
+    title('an endpoint that was tried is chosen again only where nothing ran there'),
+    async (t) => {
+      const { finder, queue } = setup(1);
+      finder.free.set('e', 2);
+      const tried = new Set(['e']);
+      t.is((await queue.enter(wish({ tried })).endpoint)?.endpointId, 'e');
+      const doubtful = queue.enter(wish({ tried, mayRepeat: false }));
+      t.is(queue.length, 1);
+      doubtful.leave();
+      t.is(await doubtful.endpoint, undefined);
+    },
+  );
+});
--- /dev/null
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -0,0 +1,166 @@
+/**
+ * Requests that wait at this entry for an endpoint of their service. Whoever has the best turn
+ * gets the next free slot; who cannot be served in its time is told so at once.
+ */
+import { WaitEstimate, compareTurns } from '@shedline/admission';
+import type { WaitingCapacity, WaitingRequest } from '@shedline/admission';
+
+/** Time between looks for free slots: those that other entries leave are not announced here. */
+const LOOK_INTERVAL_MS = 15;
+
+/** An endpoint chosen for one send. */
+export interface ChosenEndpoint {
+  readonly endpointId: string;
+  /** `host:port`. */
+  readonly address: string;
+  /** Requests that were thought to be under way there, for the log. */
+  readonly load: number;
+}
+
+/** Finds endpoints with room. */
+export interface EndpointFinder {
+  /** An endpoint that may take a request now, but none of `tried`. */
+  choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined;
+  /** A request is about to be sent to the endpoint. */
+  began(endpointId: string): void;
+  /** What the endpoints of a service take; no slots where none is known to be up. */
+  capacity(service: string): WaitingCapacity;
+  /** Time within which every endpoint that is up makes itself known. */
+  readonly knownWithinMs: number;
+}
+
+/** A request that wants an endpoint. */
+export interface EndpointWish extends WaitingRequest {
+  readonly service: string;
+  /** Endpoints that it was sent to already. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether one that was tried may be chosen again where no other has room. */
+  readonly mayRepeat: boolean;
+}
+
+/** A place in the queue. */
+export interface QueuePlace {
+  /** Undefined where the request cannot be served; otherwise its send is counted already. */
+  readonly endpoint: Promise<ChosenEndpoint | undefined>;
+  /** Leaves the queue. */
+  leave(): void;
+}
+
+/** Options of {@link EndpointQueue}. */
+export interface EndpointQueueOptions {
+  readonly finder: EndpointFinder;
+  readonly nowMs: () => number;
+}
+
+interface Waiter {
+  readonly wish: EndpointWish;
+  readonly sinceMs: number;
+  readonly settle: (endpoint: ChosenEndpoint | undefined) => void;
+}
+
+/** The queue of one entry. */
+export class EndpointQueue {
+  private readonly finder: EndpointFinder;
+  private readonly nowMs: () => number;
+  private readonly estimates = new Map<string, WaitEstimate>();
+  private waiters: Waiter[] = [];
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(options: EndpointQueueOptions) {
+    this.finder = options.finder;
+    this.nowMs = options.nowMs;
+  }
+
+  /** Requests that wait. */
+  get length(): number {
+    return this.waiters.length;
+  }
+
+  /** Takes a place in the queue, or an endpoint at once where nobody waits and one has room. */
+  enter(wish: EndpointWish): QueuePlace {
+    const isFree = !this.waiters.some((other) => other.wish.service === wish.service);
+    const found = isFree ? this.take(wish) : undefined;
+    if (found !== undefined) return { endpoint: Promise.resolve(found), leave: () => undefined };
+    return this.enqueue(wish);
+  }
+
+  /** Notes that a send ended; `runMs` where the endpoint completed the request. */
+  ended(service: string, runMs: number | undefined): void {
+    if (runMs !== undefined) this.estimateOf(service).completed(runMs);
+    this.serve();
+  }
+
+  private enqueue(wish: EndpointWish): QueuePlace {
+    let settle: Waiter['settle'] = () => undefined;
+    const endpoint = new Promise<ChosenEndpoint | undefined>((resolve) => {
+      settle = resolve;
+    });
+    const waiter: Waiter = { wish, sinceMs: this.nowMs(), settle };
+    this.waiters.push(waiter);
+    this.serve();
+    return {
+      endpoint,
+      leave: () => {
+        this.remove(waiter, undefined);
+      },
+    };
+  }
+
+  /** Gives free slots to those whose turn it is, and turns away who cannot be served. */
+  private serve(): void {
+    const nowMs = this.nowMs();
+    const ordered = [...this.waiters].sort((a, b) => compareTurns(a.wish, b.wish, nowMs));
+    const positions = new Map<string, number>();
+    for (const waiter of ordered) {
+      const { service } = waiter.wish;
+      const position = positions.get(service) ?? 0;
+      const endpoint = this.take(waiter.wish);
+      if (endpoint !== undefined || this.isHopeless(waiter, position, nowMs)) {
+        this.remove(waiter, endpoint);
+      } else {
+        positions.set(service, position + 1);
+      }
+    }
+    this.keepLooking();
+  }
+
+  private take(wish: EndpointWish): ChosenEndpoint | undefined {
+    const { service, tried, mayRepeat } = wish;
+    const repeated = mayRepeat && tried.size > 0;
+    const found =
+      this.finder.choose(service, tried) ??
+      (repeated ? this.finder.choose(service, new Set()) : undefined);
+    if (found !== undefined) this.finder.began(found.endpointId);
+    return found;
+  }
+
+  private isHopeless({ wish, sinceMs }: Waiter, position: number, nowMs: number): boolean {
+    if (wish.deadlineMs <= nowMs) return true;
+    const capacity = this.finder.capacity(wish.service);
+    if (capacity.slots === 0) return nowMs - sinceMs >= this.finder.knownWithinMs;
+    return this.estimateOf(wish.service).isHopeless(wish, position, capacity, nowMs);
+  }
+
+  private remove(waiter: Waiter, endpoint: ChosenEndpoint | undefined): void {
+    const index = this.waiters.indexOf(waiter);
+    if (index === -1) return;
+    this.waiters.splice(index, 1);
+    waiter.settle(endpoint);
+  }
+
+  private keepLooking(): void {
+    if (this.waiters.length === 0 || this.timer !== undefined) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.serve();
+    }, LOOK_INTERVAL_MS);
+  }
+
+  private estimateOf(service: string): WaitEstimate {
+    const known = this.estimates.get(service);
+    if (known !== undefined) return known;
+    const fresh = new WaitEstimate();
+    this.estimates.set(service, fresh);
+    return fresh;
+  }
+}
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -3,38 +3,23 @@
  */
 import type { Route } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
+import { EndpointQueue } from './endpoint-queue.js';
+import type { ChosenEndpoint, EndpointFinder, QueuePlace } from './endpoint-queue.js';
 import type { RequestSender, RunningSend, SendResult } from './endpoint-sender.js';
 import type { CallerRequest, EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
 import { RequestPlan } from './request-plan.js';
 import type { PlanStep, SendOutcome } from './request-plan.js';
 
-/** Longest wait for an endpoint that can take a request, as a share of its target. */
-const WAIT_SHARE_OF_TARGET = 0.2;
 /**
  * Silence of an endpoint, as a multiple of what callers count as late, after which a stream goes
  * on elsewhere. Callers abandon a stream after two seconds without an event.
  */
 const SILENCE_FACTOR = 2;
 const MIN_SILENCE_MS = 500;
-/** Time between looks for an endpoint. */
-const LOOK_INTERVAL_MS = 15;
 
-/** An endpoint chosen for one send. */
-export interface ChosenEndpoint {
-  readonly endpointId: string;
-  /** `host:port`. */
-  readonly address: string;
-  /** Requests that were thought to be under way there, for the log. */
-  readonly load: number;
-}
-
-/** Knows the endpoints. */
-export interface EndpointChooser {
-  /** An endpoint that may take a request now, but none of `tried`. */
-  choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined;
-  /** A send begins or has ended. */
-  began(endpointId: string): void;
-  /** `firstPartMs` is the time to the first part of an answer that went well. */
+/** Knows the endpoints and how they do. */
+export interface EndpointChooser extends EndpointFinder {
+  /** A send has ended; `firstPartMs` is the time to the first part of an answer that went well. */
   ended(endpointId: string, result: SendResult, firstPartMs: number | undefined): void;
 }
 
@@ -79,38 +64,51 @@
   readonly version: number;
   /** End of the time that the request has, on the clock of `nowMs`. */
   readonly deadlineMs: number;
+  /** When the caller first asked, as far as it shows, on the same clock. */
+  readonly firstAskedAtMs: number;
   readonly sink: AnswerSink;
 }
 
 /** Forwards requests. */
 export class Forwarder {
   private readonly options: ForwarderOptions;
+  private readonly queue: EndpointQueue;
 
   constructor(options: ForwarderOptions) {
     this.options = options;
+    this.queue = new EndpointQueue({ finder: options.chooser, nowMs: options.nowMs });
+  }
+
+  /** Requests that wait for an endpoint. */
+  get waitingCount(): number {
+    return this.queue.length;
   }
 
   /** Carries a request to its end. */
   run(task: ForwardTask): Promise<ForwardEnd> {
-    return new Passage(this.options, task).run();
+    return new Passage(this.options, this.queue, task).run();
   }
 }
 
 /** One request on its way. */
 class Passage {
   private readonly options: ForwarderOptions;
+  private readonly queue: EndpointQueue;
   private readonly task: ForwardTask;
   private readonly plan: RequestPlan;
   private readonly tried = new Set<string>();
   private readonly beganMs: number;
   private isGone = false;
+  private place: QueuePlace | undefined;
+  private waitedMs = 0;
   private headSent = false;
   private running: RunningSend | undefined;
   private firstPartMs: number | undefined;
   private pendingHead: EndpointHead | undefined;
 
-  constructor(options: ForwarderOptions, task: ForwardTask) {
+  constructor(options: ForwarderOptions, queue: EndpointQueue, task: ForwardTask) {
     this.options = options;
+    this.queue = queue;
     this.task = task;
     this.beganMs = options.nowMs();
     const { route, request, deadlineMs } = task;
@@ -125,6 +123,7 @@
     });
     task.sink.onGone(() => {
       this.isGone = true;
+      this.place?.leave();
       this.running?.stop();
     });
   }
@@ -133,7 +132,10 @@
     let step = this.plan.first();
     while (step.action === 'send') {
       const endpoint = await this.findEndpoint();
-      if (this.hasLeft()) return this.close('callerGone');
+      if (this.hasLeft()) {
+        if (endpoint !== undefined) this.release(endpoint.endpointId, { kind: 'stopped' });
+        return this.close('callerGone');
+      }
       if (endpoint === undefined) {
         step = this.plan.giveUp(this.options.nowMs());
         break;
@@ -159,30 +161,39 @@
     return this.isGone;
   }
 
-  /** Waits a little for an endpoint; a caller is better served by an early refusal. */
+  /** Waits for its turn; undefined where the request cannot be served in its time. */
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
-    const { chooser, nowMs } = this.options;
-    const { service, route } = this.task;
-    const waitMs = Math.min(route.targetMs * WAIT_SHARE_OF_TARGET, this.plan.timeLeftMs(nowMs()));
-    const untilMs = nowMs() + waitMs;
-    for (;;) {
-      const found = chooser.choose(service, this.tried) ?? this.chooseTriedAgain();
-      if (found !== undefined || this.isGone || nowMs() >= untilMs) return found;
-      await new Promise((resolve) => setTimeout(resolve, LOOK_INTERVAL_MS));
-    }
+    const { nowMs } = this.options;
+    const { service, route, deadlineMs, firstAskedAtMs } = this.task;
+    const sinceMs = nowMs();
+    this.place = this.queue.enter({
+      service,
+      tried: this.tried,
+      // Where every endpoint was tried, one that refused may have room by now.
+      mayRepeat: !this.plan.isInDoubt,
+      rank: route.rank,
+      onTimeUntilMs: this.headSent
+        ? sinceMs + route.longestPauseMs
+        : firstAskedAtMs + route.targetMs,
+      deadlineMs,
+    });
+    const endpoint = await this.place.endpoint;
+    this.place = undefined;
+    this.waitedMs += nowMs() - sinceMs;
+    return endpoint;
   }
 
-  /** Where every endpoint was tried, one that refused may have room by now. */
-  private chooseTriedAgain(): ChosenEndpoint | undefined {
-    if (this.tried.size === 0 || this.plan.isInDoubt) return undefined;
-    return this.options.chooser.choose(this.task.service, new Set());
+  /** A place that was taken at an endpoint is free again. */
+  private release(endpointId: string, result: SendResult, runMs?: number): void {
+    this.options.chooser.ended(endpointId, result, this.firstPartMs);
+    this.queue.ended(this.task.service, runMs);
   }
 
   private async sendTo(
     endpoint: ChosenEndpoint,
     resumeAfterEventId: string | undefined,
   ): Promise<SendResult> {
-    const { sender, protocol, chooser, nowMs } = this.options;
+    const { sender, protocol, nowMs } = this.options;
     const { request } = this.task;
     const { endpointId, address } = endpoint;
     this.tried.add(endpointId);
@@ -190,7 +201,6 @@
     const timeLeftMs = this.plan.timeLeftMs(nowMs());
     const sentAtMs = nowMs();
     this.firstPartMs = undefined;
-    chooser.began(endpointId);
     const running = sender.send(
       {
         address,
@@ -222,7 +232,8 @@
     clearTimeout(timer);
     this.running = undefined;
     if (result.kind === 'complete') this.sendHead();
-    chooser.ended(endpointId, result, this.firstPartMs);
+    const runMs = result.kind === 'complete' ? nowMs() - sentAtMs : undefined;
+    this.release(endpointId, result, runMs);
     if (result.kind !== 'complete') this.logEnd(endpoint, result);
     return result;
   }
@@ -290,6 +301,7 @@
       outcome: end,
       sends: this.tried.size,
       tookMs: Math.round(this.options.nowMs() - this.beganMs),
+      waitedMs: Math.round(this.waitedMs),
       ...(this.firstPartMs === undefined ? {} : { firstPartMs: Math.round(this.firstPartMs) }),
     });
     return end;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
  * Forwarding of requests to endpoints: decisions, sends, and the passing on of answers.
  */
 export * from './endpoint-sender.js';
+export * from './endpoint-queue.js';
 export * from './event-framer.js';
 export * from './forwarder.js';
 export * from './protocol.js';
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -1,6 +1,7 @@
 /**
  * The endpoints as one entry sees them: who may take work, and how much is under way there.
  */
+import type { WaitingCapacity } from '@shedline/admission';
 import { EndpointDirectory } from '@shedline/directory';
 import type { KnownEndpoint, Placed } from '@shedline/directory';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
@@ -32,6 +33,8 @@
   readonly isLeaving: (endpointId: string) => boolean;
   /** Whether this entry sends to an endpoint while others of its own have room. */
   readonly isInReach: (endpointId: string) => boolean;
+  /** Entries that send to endpoints, this one included. */
+  readonly entryCount: () => number;
   /** Told when the load of an endpoint changed by this entry's own work. */
   readonly onLoadChange: (endpointId: string) => void;
   /** Told when an online request goes to an endpoint without a free slot. */
@@ -138,6 +141,16 @@
     return { endpointId, address, load: online + batch };
   }
 
+  capacity(service: string): WaitingCapacity {
+    const known = this.directory.forService(service, this.options.nowMs());
+    const slots = known.reduce((sum, { announcement }) => sum + announcement.load.capacity, 0);
+    return { slots, sharers: this.options.entryCount() };
+  }
+
+  get knownWithinMs(): number {
+    return this.options.heartbeatMs;
+  }
+
   began(endpointId: string): void {
     this.change(endpointId, 'online', 1);
     this.directory.sent(endpointId);
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -3,6 +3,7 @@
  * they are, takes batch jobs and runs their items.
  */
 import { setTimeout as pause } from 'node:timers/promises';
+import { CallerPatience } from '@shedline/admission';
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
 import type { Placed } from '@shedline/directory';
@@ -91,6 +92,8 @@
   private isClosing = false;
   private openRequests = 0;
   private readonly startGate: StartGate;
+  /** By route name. */
+  private readonly patience = new Map<string, CallerPatience>();
 
   constructor(options: GatewayProcessOptions) {
     const { settings, protocol, logger } = options;
@@ -230,6 +233,7 @@
         service: chooseService(route, this.random()),
         version: routes.version,
         deadlineMs: beganMs + limitMs,
+        firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
         sink,
       });
       const { name } = route;
@@ -280,6 +284,16 @@
     await this.core.stop();
   }
 
+  /** Time since the first attempt of a caller, as far as it shows. */
+  private ageMs(route: Route, timeLeftMs: number | undefined): number {
+    if (timeLeftMs === undefined) return 0;
+    const known = this.patience.get(route.name);
+    const patience = known ?? new CallerPatience();
+    if (known === undefined) this.patience.set(route.name, patience);
+    patience.note(timeLeftMs);
+    return patience.ageMs(timeLeftMs);
+  }
+
   private refuseStopping(request: string, sink: AnswerSink): void {
     this.logger.info('request refused', { step: 'stop', request, outcome: 503 });
     sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
@@ -352,6 +366,7 @@
       nowMs: this.nowMs,
       isLeaving: (endpointId) => this.follower.fleet.isLeaving(endpointId),
       isInReach: (endpointId) => this.reach.has(endpointId),
+      entryCount: () => this.reach.entryCount,
       onLoadChange: (endpointId) => {
         this.exchange.note(endpointId);
       },
@@ -363,6 +378,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_open_requests', () => this.openRequests);
+    this.metrics.gauge('shedline_waiting_requests', () => this.forwarder.waitingCount);
     this.metrics.gauge('shedline_held_at_start', () => this.startGate.waitingCount);
     this.metrics.gauge('shedline_running_items', () => this.runner.runningCount);
     this.metrics.gauge(
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -158,6 +158,7 @@
     nowMs,
     isLeaving: () => false,
     isInReach: () => true,
+    entryCount: () => 1,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
   });
