--- a/packages/fleet-control/src/process-core.ts
+++ b/packages/fleet-control/src/process-core.ts
@@ -82,12 +82,8 @@
   }
 
   /** Connections of this process to some of its peers. */
-  createPeerBook(handlers?: Partial<LinkHandlers>): PeerBook {
-    return new PeerBook({
-      name: this.name,
-      ...this.peerOptions,
-      ...(handlers === undefined ? {} : { handlers }),
-    });
+  createPeerBook(options: Pick<PeerBookOptions, 'handlers' | 'lingerMs'> = {}): PeerBook {
+    return new PeerBook({ name: this.name, ...this.peerOptions, ...options });
   }
 
   /** Announces the process. */
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -22,6 +22,8 @@
 const FIRST_READ_PAUSE_MS = 20;
 /** Control processes asked at each look: one that is cut off must not hide what is new. */
 const ASKED_AT_ONCE = 2;
+/** With more control processes than this one is asked: the next look asks another. */
+const CONTROLS_OF_SMALL_FLEET = 4;
 
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions {
@@ -127,7 +129,8 @@
 
   private refresh(): void {
     const ready = this.options.controls.ready;
-    const count = Math.min(ASKED_AT_ONCE, ready.length);
+    const wanted = ready.length > CONTROLS_OF_SMALL_FLEET ? 1 : ASKED_AT_ONCE;
+    const count = Math.min(wanted, ready.length);
     for (let offset = 0; offset < count; offset += 1) {
       const control = ready[(this.turn + offset) % ready.length];
       if (control !== undefined) void this.ask(control);
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -28,6 +28,11 @@
 import type { Leaver } from './start-gate.js';
 
 const SWEEP_INTERVAL_MS = 1000;
+/**
+ * Time that the connection to an entry outlives their sharing of endpoints: each restart in a
+ * large fleet moves the division a little, and the next one moves it back.
+ */
+const PEER_LINGER_MS = 10_000;
 /** Longest wait for one control process at the first read before another is asked. */
 const MAX_CONTROL_ATTEMPT_MS = 500;
 /** Longest pause between questions at the first read: callers wait for its answer. */
@@ -107,10 +112,12 @@
       othersReady: () => this.servingEntries().length > 1,
     });
     const { name } = this.core;
-    this.entries = this.core.createPeerBook();
+    this.entries = this.core.createPeerBook({ lingerMs: PEER_LINGER_MS });
     this.stores = this.core.createPeerBook({
-      onMessage: (method, payload) => {
-        if (method === 'jobEnded') this.runner.jobEnded((payload as JobEndedMessage).jobId);
+      handlers: {
+        onMessage: (method, payload) => {
+          if (method === 'jobEnded') this.runner.jobEnded((payload as JobEndedMessage).jobId);
+        },
       },
     });
     this.reach = new ReachKeeper({
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -7,7 +7,7 @@
 
 /** Changes of this long go out together: shorter than the time to a stream's first event. */
 const COALESCE_MS = 25;
-/** All counts are repeated this often; a count that is not expires after three seconds. */
+/** Counts of work under way are repeated this often; others forget them after three seconds. */
 const REPEAT_MS = 1000;
 
 /** Options of {@link LoadExchange}. */
@@ -32,7 +32,9 @@
   /** Starts the repetitions. */
   start(): void {
     this.repeat = setInterval(() => {
-      this.send(this.options.pool().ownLoads());
+      const loads = this.options.pool().ownLoads();
+      // An endpoint where nothing is under way was told so when the last request ended.
+      this.send(loads.filter(({ online, batch }) => online + batch > 0));
     }, REPEAT_MS);
   }
 
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/member-register.ts
@@ -75,6 +75,12 @@
     this.trimDepartures();
   }
 
+  /** Version of the list of processes that are up now. */
+  versionAt(nowMs: number): number {
+    this.dropSilent(nowMs);
+    return this.version;
+  }
+
   /** The processes that are up now. */
   live(nowMs: number): MemberList {
     this.dropSilent(nowMs);
--- a/packages/mesh/src/member-view.ts
+++ b/packages/mesh/src/member-view.ts
@@ -17,6 +17,13 @@
 /** Union of the lists heard lately. */
 export class MemberView {
   private readonly lists = new Map<string, HeldList>();
+  /** Grows with each change of a list. */
+  private changeCount = 0;
+  /** What {@link live} gave last, and what it depended on. */
+  private readonly answers = new Map<
+    MemberKind,
+    { readonly key: string; members: MemberRecord[] }
+  >();
 
   /**
    * Takes the list of a control process, or what changed in it. False where the changes are to
@@ -28,9 +35,11 @@
     if (since === undefined) {
       const members = new Map(changed.map((record) => [record.name, record]));
       this.lists.set(from, { members, version, heardAtMs: nowMs });
+      this.changeCount += 1;
       return true;
     }
     if (known?.version !== since) return false;
+    if (gone.length > 0 || changed.length > 0) this.changeCount += 1;
     for (const name of gone) known.members.delete(name);
     for (const record of changed) known.members.set(record.name, record);
     known.version = version;
@@ -39,9 +48,9 @@
   }
 
   /** Control processes whose lists count now; all of them where none is fresh. */
-  private counting(nowMs: number): HeldList[] {
-    const all = [...this.lists.values()];
-    const fresh = all.filter((list) => nowMs - list.heardAtMs < LIST_LEASE_MS);
+  private counting(nowMs: number): [string, HeldList][] {
+    const all = [...this.lists];
+    const fresh = all.filter(([, list]) => nowMs - list.heardAtMs < LIST_LEASE_MS);
     return fresh.length > 0 ? fresh : all;
   }
 
@@ -51,17 +60,31 @@
   }
 
   /** Processes of a kind that are up, one record each. */
-  live(kind: MemberKind, nowMs: number): MemberRecord[] {
-    const byName = new Map<string, MemberRecord>();
-    for (const { members } of this.counting(nowMs)) {
-      for (const record of members.values()) {
-        if (record.kind !== kind) continue;
-        const known = byName.get(record.name);
-        if (known === undefined || isNewer(record, known)) byName.set(record.name, record);
-      }
+  live(kind: MemberKind, nowMs: number): readonly MemberRecord[] {
+    const counting = this.counting(nowMs);
+    const key = `${this.changeCount}|${counting.map(([name]) => name).join()}`;
+    const last = this.answers.get(kind);
+    if (last?.key === key) return last.members;
+    const members = unionOf(
+      kind,
+      counting.map(([, list]) => list),
+    );
+    this.answers.set(kind, { key, members });
+    return members;
+  }
+}
+
+/** Records of a kind in any of the lists, one a process, ordered by name. */
+function unionOf(kind: MemberKind, lists: readonly HeldList[]): MemberRecord[] {
+  const byName = new Map<string, MemberRecord>();
+  for (const { members } of lists) {
+    for (const record of members.values()) {
+      if (record.kind !== kind) continue;
+      const known = byName.get(record.name);
+      if (known === undefined || isNewer(record, known)) byName.set(record.name, record);
     }
-    return [...byName.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
   }
+  return [...byName.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
 /** Within one run the higher sequence is newer; between runs either may be, so the first stays. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -14,6 +14,8 @@
 const ANNOUNCE_INTERVAL_MS = 400;
 /** With more control processes than this, each hears only every second announcement. */
 const CONTROLS_TOLD_AT_ONCE = 3;
+/** Changes of the list of processes within this time are told on as one. */
+const CHANGE_COALESCE_MS = 30;
 
 /** Message: a process describes itself. */
 const ANNOUNCE = 'member';
@@ -53,6 +55,7 @@
   private timer: NodeJS.Timeout | undefined;
   private inTouch = false;
   private repeats = 0;
+  private pendingChange: NodeJS.Timeout | undefined;
 
   constructor(options: MeshOptions) {
     this.options = options;
@@ -90,7 +93,7 @@
   }
 
   /** Processes of a kind that are up. */
-  live(kind: MemberKind): MemberRecord[] {
+  live(kind: MemberKind): readonly MemberRecord[] {
     return this.view.live(kind, this.options.nowMs());
   }
 
@@ -139,6 +142,7 @@
   /** Tells the control processes that this process ends, and closes the connections. */
   stop(): void {
     clearInterval(this.timer);
+    clearTimeout(this.pendingChange);
     for (const control of this.controls.ready) control.send(LEAVE, this.record.name);
     // The message goes out before the connection closes.
     setImmediate(() => {
@@ -200,9 +204,9 @@
   /** Tells the connected processes what changed, and notes connections that closed. */
   private sendLists(): void {
     const nowMs = this.options.nowMs();
+    const version = this.register.versionAt(nowMs);
     for (const link of this.links) {
       if (link.isReady) {
-        const { version } = this.register.live(nowMs);
         if (this.sentVersions.get(link) !== version) this.sendChanges(link);
         continue;
       }
@@ -231,7 +235,15 @@
     }
     if (changes.changed.length === 0 && changes.gone.length === 0) return;
     this.updateControls();
-    this.options.onChange?.();
+    this.tellSoon();
+  }
+
+  /** Every control process tells of the same change; they are told on together. */
+  private tellSoon(): void {
+    this.pendingChange ??= setTimeout(() => {
+      this.pendingChange = undefined;
+      this.options.onChange?.();
+    }, CHANGE_COALESCE_MS);
   }
 
   private async onRequest(method: string, payload: unknown, link: Link): Promise<unknown> {
--- a/packages/transport/src/peer-book.ts
+++ b/packages/transport/src/peer-book.ts
@@ -21,12 +21,19 @@
   readonly handlers?: Partial<LinkHandlers>;
   /** Called with the name of a peer whenever a connection to it has been proven. */
   readonly onReady?: (peerName: string) => void;
+  /**
+   * Time that a connection is kept after its peer is no longer wanted: one that is wanted again
+   * soon need not be opened anew.
+   */
+  readonly lingerMs?: number;
+  readonly nowMs?: () => number;
 }
 
 /** One lasting connection a peer. */
 export class PeerBook {
   private readonly options: PeerBookOptions;
   private readonly clients = new Map<string, PeerClient>();
+  private readonly unwantedSinceMs = new Map<string, number>();
   private closed = false;
 
   constructor(options: PeerBookOptions) {
@@ -65,18 +72,29 @@
     this.clients.set(address.name, client);
   }
 
-  /** Closes the connections to all peers but these. */
+  /** Closes the connections to all peers but these, those that linger at a later call. */
   keepOnly(names: ReadonlySet<string>): void {
+    const nowMs = this.options.nowMs?.() ?? performance.now();
     for (const [name, client] of this.clients) {
-      if (names.has(name)) continue;
-      client.close();
-      this.clients.delete(name);
+      if (names.has(name)) {
+        this.unwantedSinceMs.delete(name);
+        continue;
+      }
+      const sinceMs = this.unwantedSinceMs.get(name) ?? nowMs;
+      this.unwantedSinceMs.set(name, sinceMs);
+      if (nowMs - sinceMs >= (this.options.lingerMs ?? 0)) this.drop(name, client);
     }
   }
 
   /** Closes all connections for good. */
   close(): void {
     this.closed = true;
-    this.keepOnly(new Set());
+    for (const [name, client] of this.clients) this.drop(name, client);
+  }
+
+  private drop(name: string, client: PeerClient): void {
+    client.close();
+    this.clients.delete(name);
+    this.unwantedSinceMs.delete(name);
   }
 }
