--- a/packages/directory/src/reach.test.ts
+++ b/packages/directory/src/reach.test.ts
@@ -28,6 +28,25 @@
     }
   });
 
+  test(title('the entries near an endpoint are its users in its zone, or all'), (t) => {
+    fc.assert(
+      fc.property(entryCount, endpointCount, (entriesTotal, endpointsTotal) => {
+        const entries = placed('entry', entriesTotal);
+        const endpoints = placed('endpoint', endpointsTotal);
+        const reach = new Reach({ entries, endpoints });
+        const zoneOf = new Map(entries.map((one) => [one.name, one.availabilityZone]));
+        return endpoints.every(({ name, availabilityZone }) => {
+          const users = reach.entriesOf(name);
+          const near = users.filter((entry) => zoneOf.get(entry) === availabilityZone);
+          const expected = near.length > 0 ? near : users;
+          return reach.nearEntriesOf(name).join() === expected.join();
+        });
+      }),
+      { seed: SEED },
+    );
+    t.pass();
+  });
+
   test(title('names no endpoint twice, and the same users from both sides'), (t) => {
     fc.assert(
       fc.property(entryCount, endpointCount, (entriesTotal, endpointsTotal) => {
--- a/packages/directory/src/reach.ts
+++ b/packages/directory/src/reach.ts
@@ -38,6 +38,7 @@
 export class Reach {
   private readonly byEntry = new Map<string, readonly string[]>();
   private readonly byEndpoint = new Map<string, string[]>();
+  private readonly byEndpointNear = new Map<string, readonly string[]>();
   private readonly peers = new Map<string, readonly string[]>();
 
   constructor(options: ReachOptions) {
@@ -52,6 +53,7 @@
       this.byEntry.set(entry, used);
       for (const endpoint of used) this.byEndpoint.get(endpoint)?.push(entry);
     }
+    this.noteNear(options);
   }
 
   /** Endpoints that an entry uses. */
@@ -64,6 +66,11 @@
     return this.byEndpoint.get(endpoint) ?? [];
   }
 
+  /** Entries that use an endpoint and stand in its availability zone; all where none does. */
+  nearEntriesOf(endpoint: string): readonly string[] {
+    return this.byEndpointNear.get(endpoint) ?? this.entriesOf(endpoint);
+  }
+
   /** Other entries that use some endpoint that this one uses. */
   peersOf(entry: string): readonly string[] {
     const known = this.peers.get(entry);
@@ -73,6 +80,14 @@
     this.peers.set(entry, peers);
     return peers;
   }
+
+  private noteNear({ entries, endpoints }: ReachOptions): void {
+    const zones = new Map(entries.map(({ name, availabilityZone }) => [name, availabilityZone]));
+    for (const { name, availabilityZone } of endpoints) {
+      const near = this.entriesOf(name).filter((entry) => zones.get(entry) === availabilityZone);
+      if (near.length > 0) this.byEndpointNear.set(name, near);
+    }
+  }
 }
 
 function endpointsPerEntry(entries: number, endpoints: number, options: ReachOptions): number {
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -20,15 +20,18 @@
 const REFRESH_TIMEOUT_MS = 700;
 const FIRST_READ_TIMEOUT_MS = 1500;
 const FIRST_READ_PAUSE_MS = 20;
-/** Control processes asked at each look: one that is cut off must not hide what is new. */
-const ASKED_AT_ONCE = 2;
-/** With more control processes than this one is asked: the next look asks another. */
-const CONTROLS_OF_SMALL_FLEET = 4;
+/**
+ * Looks of which one asks a further control process: the near one may be cut off from the
+ * others. The interval of heartbeats, so that no endpoint is missed for longer.
+ */
+const LOOKS_PER_CROSS_CHECK = 4;
 
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions {
   readonly controls: PeerBook;
   readonly caller: GroupCaller;
+  /** Whether a control process stands in the availability zone of this entry. */
+  readonly isNear: (control: string) => boolean;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onHeartbeats: (heartbeats: readonly AgedHeartbeat[]) => void;
@@ -44,6 +47,7 @@
   private readonly cursors = new Map<string, { epoch: string; cursor: number }>();
   private readonly asking = new Set<string>();
   private timer: NodeJS.Timeout | undefined;
+  private looks = 0;
   private turn = 0;
   private stopped = false;
   private lastAnswerMs = -Infinity;
@@ -127,20 +131,24 @@
     }
   }
 
+  /**
+   * Asks a control process nearby, whose answers are short, since it was asked just before, and
+   * now and then another one.
+   */
   private refresh(): void {
-    const ready = this.options.controls.ready;
-    const wanted = ready.length > CONTROLS_OF_SMALL_FLEET ? 1 : ASKED_AT_ONCE;
-    const count = Math.min(wanted, ready.length);
-    for (let offset = 0; offset < count; offset += 1) {
-      const control = ready[(this.turn + offset) % ready.length];
-      if (control !== undefined) void this.ask(control);
-    }
-    this.turn += count;
+    const idle = this.options.controls.ready.filter(({ peerName }) => !this.asking.has(peerName));
+    const near = idle.find(({ peerName }) => this.options.isNear(peerName)) ?? idle[0];
+    if (near !== undefined) void this.ask(near);
+    this.looks += 1;
+    const others = idle.filter((control) => control !== near);
+    const other = others[this.turn % Math.max(1, others.length)];
+    if (other === undefined || this.looks % LOOKS_PER_CROSS_CHECK !== 0) return;
+    this.turn += 1;
+    void this.ask(other);
   }
 
   private async ask(control: PeerClient): Promise<void> {
     const { peerName } = control;
-    if (this.asking.has(peerName)) return;
     this.asking.add(peerName);
     const known = this.cursors.get(peerName) ?? { epoch: '', cursor: 0 };
     const request: RefreshRequest = { position: this.fleet.position, ...known };
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -150,7 +150,7 @@
       protocol,
       logger,
       nowMs: this.nowMs,
-      usersOf,
+      usersOf: (endpointId) => this.reach.batchUsersOf(endpointId),
       entryCount: () => this.reach.entryCount,
     });
     this.addGauges();
@@ -350,6 +350,7 @@
         maxAttemptMs: MAX_CONTROL_ATTEMPT_MS,
         maxPauseMs: MAX_CONTROL_PAUSE_MS,
       }),
+      isNear: (control) => this.isNear(control),
       logger: this.logger,
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
@@ -365,6 +366,12 @@
     });
   }
 
+  private isNear(control: string): boolean {
+    const { availabilityZone } = this.settings;
+    const record = this.core.mesh.live('control').find(({ name }) => name === control);
+    return record?.availabilityZone === availabilityZone;
+  }
+
   private createPool(): EndpointPool {
     return new EndpointPool({
       availabilityZone: this.settings.availabilityZone,
--- a/packages/gateway/src/reach-keeper.ts
+++ b/packages/gateway/src/reach-keeper.ts
@@ -49,6 +49,11 @@
     return this.reach.entriesOf(endpointId);
   }
 
+  /** Entries that may run batch work at an endpoint: bodies and events stay in its zone. */
+  batchUsersOf(endpointId: string): readonly string[] {
+    return this.reach.nearEntriesOf(endpointId);
+  }
+
   /** Entries that serve, this one included. */
   get entryCount(): number {
     return this.entries;
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -140,3 +140,19 @@
     t.true(view.isFresh(60_000));
   });
 });
+
+describe('member view', () => {
+  test(title('an answer that is kept follows every change, and lists that grow old'), (t) => {
+    const view = new MemberView();
+    view.hear('c1', whole(record()), 0);
+    t.is(view.live('entry', 0).length, 1);
+    t.is(view.live('entry', 10), view.live('entry', 0));
+    const second = record({ name: '10.0.0.2:7720' });
+    view.hear('c2', whole(second), 20);
+    t.is(view.live('entry', 20).length, 2);
+    view.hear('c2', { version: 2, since: 1, changed: [], gone: [second.name] }, 30);
+    t.is(view.live('entry', 30).length, 1);
+    view.hear('c2', { version: 2, since: 2, changed: [], gone: [] }, 3000);
+    t.is(view.live('entry', 3000).length, 0);
+  });
+});
--- a/packages/routing/src/slot-routing.ts
+++ b/packages/routing/src/slot-routing.ts
@@ -26,8 +26,11 @@
 
 /** A queue of two drains in a fraction of the usual target for the first event. */
 const DEFAULT_MAX_QUEUED = 2;
-/** Zones are about a millisecond apart: only a tie of loads goes by zone. */
-const DEFAULT_CROSS_ZONE_SHARE = 0.05;
+/**
+ * An endpoint is as fast with most of its slots taken as with few, and bytes between zones are
+ * paid for: requests leave their zone only where its endpoints are fuller by three slots of eight.
+ */
+const DEFAULT_CROSS_ZONE_SHARE = 0.4;
 /** Added where batch work has to yield first; more than any share of used slots. */
 const YIELD_COST = 10;
 /** Added where the request has to queue. */
--- a/packages/transport/src/peer-book.test.ts
+++ b/packages/transport/src/peer-book.test.ts
@@ -82,6 +82,29 @@
     await Promise.all([first.server.close(), second.server.close()]);
   });
 
+  test(
+    title('keeps a connection that is soon wanted again, and closes one that is not'),
+    async (t) => {
+      const { server, port } = await peer('far');
+      let nowMs = 0;
+      const book = new PeerBook({ name: 'own', secret: SECRET, lingerMs: 100, nowMs: () => nowMs });
+      book.add({ name: 'far', host: HOST, port });
+      const first = book.get('far');
+      book.keepOnly(new Set());
+      nowMs = 99;
+      book.keepOnly(new Set());
+      t.is(book.get('far'), first);
+      book.keepOnly(new Set(['far']));
+      nowMs = 150;
+      book.keepOnly(new Set());
+      t.is(book.get('far'), first);
+      nowMs = 250;
+      book.keepOnly(new Set());
+      t.is(book.get('far'), undefined);
+      await server.close();
+    },
+  );
+
   test(title('gives a connection up that has fallen silent without closing'), async (t) => {
     const { server, port } = await peer('far');
     const relay = await relayTo(port);
