--- a/packages/directory/src/reach.ts
+++ b/packages/directory/src/reach.ts
@@ -28,9 +28,13 @@
 
 /** All entries of the small deployments, with some to spare. */
 const DEFAULT_UNDIVIDED_ENTRIES = 16;
-/** About as many as share an endpoint in an undivided fleet of today. */
-const DEFAULT_USERS_PER_ENDPOINT = 10;
-const DEFAULT_MIN_ENDPOINTS = 6;
+/**
+ * Each user tells the others of every request that begins or ends, so messages grow with the
+ * square of this; with fewer, one that is gone leaves an endpoint to too few.
+ */
+const DEFAULT_USERS_PER_ENDPOINT = 5;
+/** Half of them may fail at once; where the others are full, all endpoints of the fleet are used. */
+const DEFAULT_MIN_ENDPOINTS = 4;
 /** Enough to even out the load of one entry; a choice looks at each of them. */
 const DEFAULT_MAX_ENDPOINTS = 64;
 
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -53,8 +53,6 @@
 const REFUSE_BEFORE_END_MS = 1500;
 /** When a caller that is refused at the end of a planned stop should come back, elsewhere. */
 const STOPPING_RETRY_MS = 100;
-/** Times an address answer that callers keep the answer for; some keep it for three. */
-const KEPT_ANSWERS = 1.5;
 
 /** A request of a caller, decoded. */
 export interface IncomingRequest {
@@ -267,10 +265,11 @@
     this.core.mesh.setState('draining');
     this.logger.info('draining', { step: 'stop', openRequests: this.openRequests });
     const handedBack = this.runner.drain();
-    const keptMs = this.settings.addressKeepS * 1000 * KEPT_ANSWERS;
     const untilMs = beganMs + this.settings.stopWithinS * 1000 - STOP_MARGIN_MS;
-    await pause(Math.min(keptMs, Math.max(0, untilMs - this.nowMs())));
     const refuseFromMs = untilMs - REFUSE_BEFORE_END_MS;
+    // Callers come here as long as they keep an answer that names this entry.
+    const keptUntilMs = Math.min(beganMs + this.settings.addressKeepS * 1000, refuseFromMs);
+    await pause(Math.max(0, keptUntilMs - this.nowMs()));
     while (this.openRequests > 0 && this.nowMs() < untilMs) {
       this.isClosing = this.nowMs() >= refuseFromMs;
       await pause(POLL_MS);
