--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -39,7 +39,7 @@
   cut(): void;
   /** An answer of shedline's own. */
   refuse(status: number, options: { readonly retryAfterMs?: number }): void;
-  /** Called once if the caller goes away before the answer is complete. */
+  /** Called once if the caller goes away before the answer is complete, or has gone already. */
   onGone(listener: () => void): void;
 }
 
@@ -131,6 +131,7 @@
   async run(): Promise<ForwardEnd> {
     let step = this.plan.first();
     while (step.action === 'send') {
+      if (this.hasLeft()) return this.close('callerGone');
       const endpoint = await this.findEndpoint();
       if (this.hasLeft()) {
         if (endpoint !== undefined) this.release(endpoint.endpointId, { kind: 'stopped' });
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -58,8 +58,10 @@
 export interface IncomingRequest {
   readonly caller: CallerRequest;
   readonly host: string;
-  /** Time that the caller waits; undefined where it does not say. */
+  /** Time that the caller waits, from when it asked; undefined where it does not say. */
   readonly timeLeftMs: number | undefined;
+  /** Time since it asked, as {@link GatewayProcess.untilStarted} told. */
+  readonly heldMs: number;
 }
 
 /** Options of {@link GatewayProcess}. */
@@ -205,9 +207,9 @@
     return (this.follower.fleet.routes?.jobRoutes(host).length ?? 0) > 0;
   }
 
-  /** Resolves once a caller's request can be decided: while the entry starts, it waits. */
-  async untilStarted(caller: Leaver): Promise<void> {
-    if (!this.knowsRoutes) await this.startGate.pass(caller);
+  /** Holds a caller's request while the entry starts; gives the time that it was held. */
+  async untilStarted(caller: Leaver): Promise<number> {
+    return this.knowsRoutes ? 0 : this.startGate.pass(caller);
   }
 
   /** Whether the routes are known. */
@@ -217,7 +219,7 @@
 
   /** Forwards a request; its answer goes into the sink. */
   async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
-    const { caller, host, timeLeftMs } = incoming;
+    const { caller, host, timeLeftMs, heldMs } = incoming;
     if (this.isClosing) {
       this.refuseStopping(caller.requestId, sink);
       return;
@@ -228,7 +230,7 @@
       this.refuseUnrouted(incoming, sink);
       return;
     }
-    const beganMs = this.nowMs();
+    const beganMs = this.nowMs() - heldMs;
     const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
     this.openRequests += 1;
     try {
--- a/packages/gateway/src/start-gate.test.ts
+++ b/packages/gateway/src/start-gate.test.ts
@@ -27,14 +27,16 @@
 
 describe('StartGate', () => {
   test(title('what waits passes when the gate opens, and nothing waits after that'), async (t) => {
-    const gate = gateAt({ nowMs: 0, othersReady: false });
+    const clock = { nowMs: 0, othersReady: false };
+    const gate = gateAt(clock);
     const passed = gate.pass(new FakeCaller());
     t.is(gate.waitingCount, 1);
+    clock.nowMs = 70;
     gate.open();
-    await passed;
+    t.is(await passed, 70, 'the time that it was held, which its deadline is counted from');
     t.is(gate.waitingCount, 0);
     t.is(gate.holdMs, 0);
-    await gate.pass(new FakeCaller());
+    t.is(await gate.pass(new FakeCaller()), 0);
   });
 
   test(title('holds longer where no other entry would serve the caller'), (t) => {
--- a/packages/gateway/src/start-gate.ts
+++ b/packages/gateway/src/start-gate.ts
@@ -23,7 +23,7 @@
 
 /** Tells of a caller that leaves. */
 export interface Leaver {
-  /** Called once if the caller goes away before its answer is complete. */
+  /** Called once if the caller goes away before its answer is complete, or has gone already. */
   onGone(listener: () => void): void;
 }
 
@@ -62,10 +62,19 @@
     for (const wake of [...this.waiters]) wake();
   }
 
-  /** Resolves when the gate opens, the time to hold requests is over, or the caller leaves. */
-  pass(caller: Leaver): Promise<void> {
+  /**
+   * Resolves when the gate opens, the time to hold requests is over, or the caller leaves; gives
+   * the time that the request was held.
+   */
+  async pass(caller: Leaver): Promise<number> {
     const { holdMs } = this;
-    if (holdMs === 0) return Promise.resolve();
+    if (holdMs === 0) return 0;
+    const sinceMs = this.options.nowMs();
+    await this.released(caller, holdMs);
+    return this.options.nowMs() - sinceMs;
+  }
+
+  private released(caller: Leaver, holdMs: number): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         wake();
