--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -98,6 +98,9 @@
   return sent;
 }
 
+/** Far longer than the first bytes of an endpoint take beside any load that tests run under. */
+const SILENCE_LIMIT_MS = 1500;
+
 describe('endpoint sender', () => {
   test(
     title('reports a stop of its own as a stop, not as a failure of the endpoint'),
@@ -176,7 +179,7 @@
         if (bytes !== '') socket.write(bytes);
       });
       const { port } = server.address() as AddressInfo;
-      const { result } = await sendTo(port, undefined, 60);
+      const { result } = await sendTo(port, undefined, SILENCE_LIMIT_MS);
       t.like(result, { kind: 'ended', outcome: { kind, isSilence: true } });
       server.close();
     }
--- /dev/null
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -0,0 +1,268 @@
+/**
+ * One request on its way through its plan: waits for an endpoint, sends, passes the answer on.
+ */
+import type { EndpointQueue, ChosenEndpoint, QueuePlace } from './endpoint-queue.js';
+import type { RunningSend, SendResult } from './endpoint-sender.js';
+import type { ForwardEnd, ForwardTask, ForwarderOptions } from './forward-task.js';
+import type { EndpointHead } from './protocol.js';
+import { RequestPlan } from './request-plan.js';
+import type { PlanStep, SendOutcome } from './request-plan.js';
+
+/**
+ * Silence of an endpoint, as a multiple of what callers count as late, after which a stream goes
+ * on elsewhere. Callers abandon a stream after two seconds without an event.
+ */
+const SILENCE_FACTOR = 2;
+const MIN_SILENCE_MS = 500;
+
+/** Carries one request to its end. */
+export class ForwardedRequest {
+  private readonly options: ForwarderOptions;
+  private readonly queue: EndpointQueue;
+  private readonly task: ForwardTask;
+  private readonly plan: RequestPlan;
+  private readonly tried = new Set<string>();
+  private readonly beganMs: number;
+  private isGone = false;
+  private place: QueuePlace | undefined;
+  private waitedMs = 0;
+  private headSent = false;
+  private running: RunningSend | undefined;
+  private firstPartMs: number | undefined;
+  private pendingHead: EndpointHead | undefined;
+
+  constructor(options: ForwarderOptions, queue: EndpointQueue, task: ForwardTask) {
+    this.options = options;
+    this.queue = queue;
+    this.task = task;
+    this.beganMs = options.nowMs();
+    const { route, request, deadlineMs } = task;
+    this.plan = new RequestPlan({
+      kind: route.kind,
+      isResumable: route.isResumable,
+      maxAttempts: route.maxAttempts,
+      deadlineMs,
+      ...(request.resumeAfterEventId === undefined
+        ? {}
+        : { resumeAfterEventId: request.resumeAfterEventId }),
+    });
+    task.sink.onGone(() => {
+      this.isGone = true;
+      this.place?.leave();
+      this.running?.stop();
+    });
+  }
+
+  async run(): Promise<ForwardEnd> {
+    let step = this.plan.first();
+    while (step.action === 'send') {
+      if (this.hasLeft()) return this.close('callerGone');
+      const endpoint = await this.findEndpoint();
+      if (this.hasLeft()) {
+        if (endpoint !== undefined) this.release(endpoint.endpointId, { kind: 'stopped' });
+        return this.close('callerGone');
+      }
+      if (endpoint === undefined) {
+        step = this.plan.giveUp(this.options.nowMs());
+        break;
+      }
+      const result = await this.sendTo(endpoint, step.resumeAfterEventId);
+      if (this.hasLeft()) return this.close('callerGone');
+      if (result.kind === 'complete') {
+        this.task.sink.end();
+        return this.close('complete');
+      }
+      if (result.kind === 'stopped') {
+        step = this.plan.timeUp();
+        break;
+      }
+      step = this.plan.after(outcomeOf(result), this.options.nowMs());
+      if (step.action === 'passOn' && result.kind === 'failure') return this.passOn(result);
+    }
+    return this.finish(step);
+  }
+
+  /** Whether the caller has left; asked anew after each wait. */
+  private hasLeft(): boolean {
+    return this.isGone;
+  }
+
+  /** Waits for its turn; undefined where the request cannot be served in its time. */
+  private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
+    const { nowMs } = this.options;
+    const { service, route, deadlineMs, firstAskedAtMs } = this.task;
+    const sinceMs = nowMs();
+    this.place = this.queue.enter({
+      service,
+      tried: this.tried,
+      // Where every endpoint was tried, one that refused may have room by now.
+      mayRepeat: !this.plan.isInDoubt,
+      rank: route.rank,
+      onTimeUntilMs: this.headSent
+        ? sinceMs + route.longestPauseMs
+        : firstAskedAtMs + route.targetMs,
+      deadlineMs,
+    });
+    const endpoint = await this.place.endpoint;
+    this.place = undefined;
+    this.waitedMs += nowMs() - sinceMs;
+    return endpoint;
+  }
+
+  /** A place that was taken at an endpoint is free again. */
+  private release(endpointId: string, result: SendResult, runMs?: number): void {
+    this.options.chooser.ended(endpointId, result, this.firstPartMs);
+    this.queue.ended(this.task.service, runMs);
+  }
+
+  private async sendTo(
+    endpoint: ChosenEndpoint,
+    resumeAfterEventId: string | undefined,
+  ): Promise<SendResult> {
+    const { sender, protocol, nowMs } = this.options;
+    const { request } = this.task;
+    const { endpointId, address } = endpoint;
+    this.tried.add(endpointId);
+    this.logSend(endpoint, resumeAfterEventId);
+    const timeLeftMs = this.plan.timeLeftMs(nowMs());
+    const sentAtMs = nowMs();
+    this.firstPartMs = undefined;
+    const running = sender.send(
+      {
+        address,
+        requestId: request.requestId,
+        method: request.method,
+        path: request.path,
+        headers: protocol.sendHeaders(request, { endpointId, timeLeftMs, resumeAfterEventId }),
+        body: request.body,
+        ...this.silenceLimit(),
+      },
+      {
+        onHead: (head) => {
+          this.pendingHead = head;
+          // Only an event stream can still be replaced by another send without its head.
+          if (!head.isEventStream) this.sendHead();
+        },
+        onPart: (bytes, event) => {
+          this.firstPartMs ??= nowMs() - sentAtMs;
+          return this.pass(bytes, event?.id);
+        },
+      },
+    );
+    this.running = running;
+    if (this.isGone) running.stop();
+    const timer = setTimeout(() => {
+      running.stop();
+    }, timeLeftMs);
+    const result = await running.result;
+    clearTimeout(timer);
+    this.running = undefined;
+    if (result.kind === 'complete') this.sendHead();
+    const runMs = result.kind === 'complete' ? nowMs() - sentAtMs : undefined;
+    this.release(endpointId, result, runMs);
+    if (result.kind !== 'complete') this.logEnd(endpoint, result);
+    return result;
+  }
+
+  /** Only a stream that may go on elsewhere is given up because its endpoint is silent. */
+  private silenceLimit(): { readonly silenceLimitMs?: number } {
+    const { targetMs, longestPauseMs } = this.task.route;
+    if (!this.plan.mayGoOnElsewhere) return {};
+    const lateMs = Math.max(targetMs, longestPauseMs);
+    return { silenceLimitMs: Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * lateMs) };
+  }
+
+  /** A stream that goes on elsewhere keeps the head of its first endpoint. */
+  private sendHead(): void {
+    if (this.headSent || this.pendingHead === undefined) return;
+    this.headSent = true;
+    const { status, headers, endsWithConnection } = this.pendingHead;
+    this.task.sink.head(status, headers, { endsWithConnection });
+    this.plan.passedOn(undefined);
+  }
+
+  private pass(bytes: Buffer, eventId: string | undefined): boolean {
+    this.sendHead();
+    this.plan.passedOn(eventId);
+    const goesOn = this.task.sink.write(bytes);
+    if (!goesOn) {
+      this.task.sink.onDrain(() => {
+        this.running?.resume();
+      });
+    }
+    return goesOn;
+  }
+
+  private passOn(result: SendResult & { kind: 'failure' }): ForwardEnd {
+    const { sink } = this.task;
+    const { status, headers, endsWithConnection } = result.head;
+    sink.head(status, headers, { endsWithConnection });
+    sink.write(result.body);
+    sink.end();
+    return this.close('passedOn');
+  }
+
+  private finish(step: PlanStep): ForwardEnd {
+    const { sink } = this.task;
+    if (step.action === 'refuse') {
+      sink.refuse(503, { retryAfterMs: step.retryAfterMs });
+      return this.close('refused');
+    }
+    if (step.action === 'cut') {
+      sink.cut();
+      return this.close('cut');
+    }
+    const isTimeout = step.action === 'fail' && step.isTimeout;
+    sink.refuse(isTimeout ? 504 : 502, {});
+    return this.close('failed');
+  }
+
+  private close(end: ForwardEnd): ForwardEnd {
+    const { request, route, version } = this.task;
+    this.options.logger.info('request ended', {
+      step: 'forward',
+      request: request.requestId,
+      route: route.name,
+      version,
+      outcome: end,
+      sends: this.tried.size,
+      tookMs: Math.round(this.options.nowMs() - this.beganMs),
+      waitedMs: Math.round(this.waitedMs),
+      ...(this.firstPartMs === undefined ? {} : { firstPartMs: Math.round(this.firstPartMs) }),
+    });
+    return end;
+  }
+
+  private logSend(endpoint: ChosenEndpoint, resumeAfterEventId: string | undefined): void {
+    const { request, version } = this.task;
+    this.options.logger.info('request sent', {
+      step: 'forward',
+      request: request.requestId,
+      version,
+      endpoint: endpoint.endpointId,
+      peer: endpoint.address,
+      load: endpoint.load,
+      send: this.tried.size,
+      timeLeftMs: this.plan.timeLeftMs(this.options.nowMs()),
+      ...(resumeAfterEventId === undefined ? {} : { resumeAfterEventId }),
+    });
+  }
+
+  private logEnd(endpoint: ChosenEndpoint, result: SendResult): void {
+    const detail = result.kind === 'ended' ? result.outcome : undefined;
+    const reason = detail !== undefined && 'reason' in detail ? detail.reason : undefined;
+    this.options.logger.info('send ended without an answer', {
+      step: 'forward',
+      request: this.task.request.requestId,
+      endpoint: endpoint.endpointId,
+      peer: endpoint.address,
+      outcome: detail?.kind ?? result.kind,
+      ...(reason === undefined ? {} : { reason }),
+    });
+  }
+}
+
+function outcomeOf(result: SendResult & { kind: 'failure' | 'ended' }): SendOutcome {
+  if (result.kind === 'ended') return result.outcome;
+  return { kind: 'failed', status: result.head.status };
+}
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -4,8 +4,8 @@
 import { describe, title } from '@shedline/test-utils';
 import type { RequestSender, RunningSend } from './endpoint-sender.js';
 import type { ChosenEndpoint } from './endpoint-queue.js';
+import type { AnswerSink, EndpointChooser, ForwardEnd } from './forward-task.js';
 import { Forwarder } from './forwarder.js';
-import type { AnswerSink, EndpointChooser, ForwardEnd } from './forwarder.js';
 import type { EndpointProtocol } from './protocol.js';
 
 const ROUTE: Route = {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from './endpoint-sender.js';
 export * from './endpoint-queue.js';
 export * from './event-framer.js';
+export * from './forward-task.js';
 export * from './forwarder.js';
 export * from './protocol.js';
 export * from './request-plan.js';
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -2,7 +2,6 @@
  * The caller-facing process of a fleet that finds its members itself: it forwards requests as
  * they are, takes batch jobs and runs their items.
  */
-import { setTimeout as pause } from 'node:timers/promises';
 import { CallerPatience } from '@shedline/admission';
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
@@ -23,6 +22,7 @@
 import { ItemRunner } from './item-runner.js';
 import { JobDesk } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
+import { PlannedStop } from './planned-stop.js';
 import { ReachKeeper } from './reach-keeper.js';
 import { StartGate } from './start-gate.js';
 import type { Leaver } from './start-gate.js';
@@ -37,20 +37,12 @@
 const MAX_CONTROL_ATTEMPT_MS = 500;
 /** Longest pause between questions at the first read: callers wait for its answer. */
 const MAX_CONTROL_PAUSE_MS = 40;
-const POLL_MS = 20;
 /** Most addresses in one answer. */
 const MAX_ADDRESSES = 64;
 /** Entries in the caller's zone from which the answer leaves the other zones out. */
 const ENOUGH_IN_ZONE = 2;
 /** When a caller should come back that was not served while the entry started, elsewhere. */
 const NOT_READY_RETRY_MS = 300;
-/** Time before the end of the process at which connections are closed. */
-const STOP_MARGIN_MS = 700;
-/**
- * Time before that from which new requests are refused as not run, so that those under way can
- * end: callers may go on using their connections until the process is gone.
- */
-const REFUSE_BEFORE_END_MS = 1500;
 /** When a caller that is refused at the end of a planned stop should come back, elsewhere. */
 const STOPPING_RETRY_MS = 100;
 
@@ -92,9 +84,7 @@
   private readonly reach: ReachKeeper;
   private readonly runner: ItemRunner;
   private timer: NodeJS.Timeout | undefined;
-  private draining = false;
-  /** The last part of a planned stop: nothing new is begun. */
-  private isClosing = false;
+  private readonly stop: PlannedStop;
   private openRequests = 0;
   private readonly startGate: StartGate;
   /** By route name. */
@@ -107,6 +97,12 @@
     this.random = options.random ?? Math.random;
     this.nowMs = options.nowMs ?? (() => performance.now());
     this.core = this.createCore();
+    this.stop = new PlannedStop({
+      nowMs: this.nowMs,
+      stopWithinMs: settings.stopWithinS * 1000,
+      addressKeepMs: settings.addressKeepS * 1000,
+      openRequests: () => this.openRequests,
+    });
     this.startGate = new StartGate({
       nowMs: this.nowMs,
       othersReady: () => this.servingEntries().length > 1,
@@ -174,12 +170,12 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.draining && this.follower.fleet.routes !== undefined;
+    return !this.isDraining && this.follower.fleet.routes !== undefined;
   }
 
   /** Whether the process has begun to stop. */
   get isDraining(): boolean {
-    return this.draining;
+    return this.stop.hasBegun;
   }
 
   /** Limits on what callers may send; undefined before the first configuration. */
@@ -220,7 +216,7 @@
   /** Forwards a request; its answer goes into the sink. */
   async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
     const { caller, host, timeLeftMs, heldMs } = incoming;
-    if (this.isClosing) {
+    if (this.stop.isClosing) {
       this.refuseStopping(caller.requestId, sink);
       return;
     }
@@ -262,22 +258,9 @@
    * batch work back. Resolves when the caller-facing connections may close.
    */
   async drain(): Promise<void> {
-    this.draining = true;
-    const beganMs = this.nowMs();
     this.core.mesh.setState('draining');
     this.logger.info('draining', { step: 'stop', openRequests: this.openRequests });
-    const handedBack = this.runner.drain();
-    const untilMs = beganMs + this.settings.stopWithinS * 1000 - STOP_MARGIN_MS;
-    const refuseFromMs = untilMs - REFUSE_BEFORE_END_MS;
-    // Callers come here as long as they keep an answer that names this entry.
-    const keptUntilMs = Math.min(beganMs + this.settings.addressKeepS * 1000, refuseFromMs);
-    await pause(Math.max(0, keptUntilMs - this.nowMs()));
-    while (this.openRequests > 0 && this.nowMs() < untilMs) {
-      this.isClosing = this.nowMs() >= refuseFromMs;
-      await pause(POLL_MS);
-    }
-    this.isClosing = true;
-    await Promise.race([handedBack, pause(Math.max(0, untilMs - this.nowMs()))]);
+    await this.stop.run(this.runner.drain());
     this.logger.info('drained', { step: 'stop', cutRequests: this.openRequests });
   }
 
