--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -11,8 +11,10 @@
   readonly knownWithinMs = 1200;
   readonly free = new Map<string, number>();
   slots = 0;
+  looks = 0;
 
   choose(_service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
+    this.looks += 1;
     for (const [endpointId, count] of this.free) {
       if (count > 0 && !tried.has(endpointId)) return { endpointId, address: 'a:1', load: 0 };
     }
@@ -23,8 +25,9 @@
     this.free.set(endpointId, (this.free.get(endpointId) ?? 0) - 1);
   }
 
-  capacity(): { slots: number; sharers: number } {
-    return { slots: this.slots, sharers: 1 };
+  capacity(_service: string, excluded: ReadonlySet<string>): { slots: number; sharers: number } {
+    // All slots are those of one endpoint.
+    return { slots: excluded.has('e') ? 0 : this.slots, sharers: 1 };
   }
 }
 
@@ -139,4 +142,37 @@
       t.is(await doubtful.endpoint, undefined);
     },
   );
+
+  test(
+    title('does not wait to its deadline for an endpoint that it may not use again'),
+    async (t) => {
+      const all = setup(8);
+      const order = follow(all, { doubtful: wish({ tried: new Set(['e']), mayRepeat: false }) });
+      all.clock.nowMs = all.finder.knownWithinMs;
+      all.queue.ended(SERVICE, undefined);
+      await settled();
+      t.deepEqual(order, ['doubtful refused']);
+    },
+  );
+
+  test(
+    title('a long queue is looked at once for each slot, not once for each request'),
+    async (t) => {
+      const all = setup(8);
+      const wishes = Array.from(
+        { length: 100 },
+        (_, index) => [`request ${index}`, wish()] as const,
+      );
+      const order = follow(all, Object.fromEntries(wishes));
+      const { looks } = all.finder;
+      all.finder.free.set('e', 2);
+      all.queue.ended(SERVICE, undefined);
+      await settled();
+      t.is(order.length, 2);
+      t.is(all.finder.looks - looks, 3);
+      all.clock.nowMs = 5000;
+      all.queue.ended(SERVICE, undefined);
+      t.is(all.queue.length, 0);
+    },
+  );
 });
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -7,6 +7,7 @@
 
 /** Time between looks for free slots: those that other entries leave are not announced here. */
 const LOOK_INTERVAL_MS = 15;
+const NONE: ReadonlySet<string> = new Set();
 
 /** An endpoint chosen for one send. */
 export interface ChosenEndpoint {
@@ -23,8 +24,8 @@
   choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined;
   /** A request is about to be sent to the endpoint. */
   began(endpointId: string): void;
-  /** What the endpoints of a service take; no slots where none is known to be up. */
-  capacity(service: string): WaitingCapacity;
+  /** What the endpoints of a service but `excluded` take; no slots where none is known to be up. */
+  capacity(service: string, excluded: ReadonlySet<string>): WaitingCapacity;
   /** Time within which every endpoint that is up makes itself known. */
   readonly knownWithinMs: number;
 }
@@ -111,10 +112,13 @@
     const nowMs = this.nowMs();
     const ordered = [...this.waiters].sort((a, b) => compareTurns(a.wish, b.wish, nowMs));
     const positions = new Map<string, number>();
+    // Where a request that was sent nowhere yet finds no room, nobody does.
+    const full = new Set<string>();
     for (const waiter of ordered) {
-      const { service } = waiter.wish;
+      const { service, tried } = waiter.wish;
       const position = positions.get(service) ?? 0;
-      const endpoint = this.take(waiter.wish);
+      const endpoint = full.has(service) ? undefined : this.take(waiter.wish);
+      if (endpoint === undefined && tried.size === 0) full.add(service);
       if (endpoint !== undefined || this.isHopeless(waiter, position, nowMs)) {
         this.remove(waiter, endpoint);
       } else {
@@ -136,9 +140,10 @@
 
   private isHopeless({ wish, sinceMs }: Waiter, position: number, nowMs: number): boolean {
     if (wish.deadlineMs <= nowMs) return true;
-    const capacity = this.finder.capacity(wish.service);
+    const { service, tried, mayRepeat } = wish;
+    const capacity = this.finder.capacity(service, mayRepeat ? NONE : tried);
     if (capacity.slots === 0) return nowMs - sinceMs >= this.finder.knownWithinMs;
-    return this.estimateOf(wish.service).isHopeless(wish, position, capacity, nowMs);
+    return this.estimateOf(service).isHopeless(wish, position, capacity, nowMs);
   }
 
   private remove(waiter: Waiter, endpoint: ChosenEndpoint | undefined): void {
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -141,8 +141,10 @@
     return { endpointId, address, load: online + batch };
   }
 
-  capacity(service: string): WaitingCapacity {
-    const known = this.directory.forService(service, this.options.nowMs());
+  capacity(service: string, excluded: ReadonlySet<string>): WaitingCapacity {
+    const known = this.directory
+      .forService(service, this.options.nowMs())
+      .filter(({ announcement }) => !excluded.has(announcement.endpointId));
     const slots = known.reduce((sum, { announcement }) => sum + announcement.load.capacity, 0);
     return { slots, sharers: this.options.entryCount() };
   }
