--- a/packages/admission/src/wait-estimate.test.ts
+++ b/packages/admission/src/wait-estimate.test.ts
@@ -39,7 +39,7 @@
     const fresh = { rank: 0, onTimeUntilMs: 300, deadlineMs: 5000 };
     const lessUrgent = { rank: 1, onTimeUntilMs: 210, deadlineMs: 300 };
     const order = [lessUrgent, late, fresh, soon].sort((a, b) => compareTurns(a, b, 200));
-    t.deepEqual(order, [fresh, soon, late, lessUrgent]);
+    t.deepEqual(order, [soon, fresh, late, lessUrgent]);
   });
 });
 
--- a/packages/admission/src/wait-estimate.ts
+++ b/packages/admission/src/wait-estimate.ts
@@ -25,17 +25,16 @@
 const SMOOTHING = 0.1;
 
 /**
- * Order of turns at `nowMs`: by rank; then those that can still be on time, the newest first;
- * then those that are late already, the soonest over first. What is late loses little by a longer
- * wait. Where more comes than can be served, the soonest late first would make nearly all late:
- * each would be served just when its time is over.
+ * Order of turns at `nowMs`: by rank; then those that can still be on time, the soonest late
+ * first; then those that are late already, the soonest over first. What is late loses little by
+ * a longer wait, what is on time loses most of its use.
  */
 export function compareTurns(a: WaitingRequest, b: WaitingRequest, nowMs: number): number {
   if (a.rank !== b.rank) return a.rank - b.rank;
   const aIsLate = a.onTimeUntilMs <= nowMs;
   const bIsLate = b.onTimeUntilMs <= nowMs;
   if (aIsLate !== bIsLate) return aIsLate ? 1 : -1;
-  return aIsLate ? a.deadlineMs - b.deadlineMs : b.onTimeUntilMs - a.onTimeUntilMs;
+  return aIsLate ? a.deadlineMs - b.deadlineMs : a.onTimeUntilMs - b.onTimeUntilMs;
 }
 
 /** Times that requests of one service need, and the waits that follow from them. */
--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -100,7 +100,7 @@
       all.queue.ended(SERVICE, undefined);
       await settled();
     }
-    t.deepEqual(order, ['fresh', 'resumed', 'late']);
+    t.deepEqual(order, ['resumed', 'fresh', 'late']);
   });
 
   test(title('what cannot be served in its time is refused at once, the rest waits'), async (t) => {
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -15,8 +15,6 @@
 /** A connection that cannot be opened counts for two failures. */
 const FAILURES_TO_EJECT = 2;
 const FIRST_EJECTION_MS = 800;
-/** Requests wait at their entry, by turns; endpoints would take them as they come. */
-const MAX_QUEUED = 0;
 
 /** Work under way at an endpoint, from one entry. */
 export interface LoadCount {
@@ -59,7 +57,7 @@
       failuresToEject: FAILURES_TO_EJECT,
       firstEjectionMs: FIRST_EJECTION_MS,
     });
-    this.routing = new SlotRouting({ random: options.random, maxQueued: MAX_QUEUED });
+    this.routing = new SlotRouting({ random: options.random });
   }
 
   /** Takes heartbeats; true where some endpoint was not known before. */
