Sight: silent connections are told apart, and the soak can make them

What lines and counters could not tell: whether a send was lost to silence, after its answer had begun or before, and when a connection between processes was lost, and why. Logged now: 'endpoint is silent' and 'is heard again' for streams that nobody can go on for, hasBegun with each send that ended without an answer, and 'connection to a peer lost' with its reason.

The soak lets all open connections go silent for good while new ones work (--silences), with relays before endpoints too and callers that do not wait for each other.

--- a/packages/fleet-control/src/process-core.ts
+++ b/packages/fleet-control/src/process-core.ts
@@ -83,7 +83,15 @@
 
   /** Connections of this process to some of its peers. */
   createPeerBook(options: Pick<PeerBookOptions, 'handlers' | 'lingerMs'> = {}): PeerBook {
-    return new PeerBook({ name: this.name, ...this.peerOptions, ...options });
+    const { logger } = this.options;
+    return new PeerBook({
+      name: this.name,
+      ...this.peerOptions,
+      onLost: (peer, loss) => {
+        logger.info('connection to a peer lost', { step: 'peer', peer, ...loss });
+      },
+      ...options,
+    });
   }
 
   /** Announces the process. */
--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -68,7 +68,9 @@
       path: '/',
       headers: [],
       body: Buffer.from('body'),
-      ...(silenceLimitMs === undefined ? {} : { silenceLimitMs }),
+      ...(silenceLimitMs === undefined
+        ? {}
+        : { silence: { limitMs: silenceLimitMs, then: 'giveUp' } }),
     },
     {
       onHead: () => undefined,
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -33,8 +33,15 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
-  /** Silence after which the send is given up; undefined where nobody could go on instead. */
-  readonly silenceLimitMs?: number;
+  /** What to do when the endpoint says nothing for too long; undefined: nothing. */
+  readonly silence?: SilenceRule;
+}
+
+/** When an endpoint counts as silent, and what follows. */
+export interface SilenceRule {
+  readonly limitMs: number;
+  /** `giveUp`: the send ends; `tell`: it goes on, and its receiver is told. */
+  readonly then: 'giveUp' | 'tell';
 }
 
 /** What a send hands out while it runs. */
@@ -43,6 +50,8 @@
   onHead(head: EndpointHead): void;
   /** Part of the body; of an event stream a whole event. False: pause until resumed. */
   onPart(bytes: Buffer, event: StreamEvent | undefined): boolean;
+  /** The endpoint has said nothing for too long, or says something again. */
+  onSilence?(isSilent: boolean): void;
 }
 
 /** How a send ended. */
@@ -151,20 +160,23 @@
   private kept: Buffer[] = [];
   private keptBytes = 0;
   private watch: SilenceWatch | undefined;
+  private isToldSilent = false;
 
   constructor(protocol: EndpointProtocol, send: Send, receiver: SendReceiver) {
-    const { requestId, silenceLimitMs: limitMs } = send;
+    const { requestId, silence } = send;
     this.protocol = protocol;
     this.requestId = requestId;
     this.receiver = receiver;
     this.result = new Promise((resolve) => {
       this.settle = resolve;
     });
-    if (limitMs === undefined) return;
+    if (silence === undefined) return;
+    const { limitMs, then } = silence;
     this.watch = new SilenceWatch({
       limitMs,
       onSilent: () => {
-        this.silent(limitMs);
+        if (then === 'giveUp') this.silent(limitMs);
+        else this.tellSilence(true);
       },
     });
   }
@@ -186,7 +198,7 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, statusCode: number): void {
-    this.watch?.heard();
+    this.heard();
     if (statusCode < 200) return;
     const raw = (controller as { rawHeaders?: (Buffer | string)[] }).rawHeaders ?? [];
     const head = this.protocol.readHead(
@@ -209,7 +221,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isStopped) return;
-    this.watch?.heard();
+    this.heard();
     if (!this.isPassedOn) {
       this.keep(chunk);
       return;
@@ -260,6 +272,18 @@
     this.finish({ kind: 'ended', outcome: { kind, reason } });
   }
 
+  private heard(): void {
+    this.watch?.heard();
+    if (!this.isToldSilent) return;
+    this.tellSilence(false);
+    this.watch?.resume();
+  }
+
+  private tellSilence(isSilent: boolean): void {
+    this.isToldSilent = isSilent;
+    this.receiver.onSilence?.(isSilent);
+  }
+
   private keep(chunk: Buffer): void {
     this.keptBytes += chunk.length;
     if (this.keptBytes <= MAX_FAILURE_BYTES) this.kept.push(Buffer.from(chunk));
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -2,7 +2,7 @@
  * One request on its way through its plan: waits for an endpoint, sends, passes the answer on.
  */
 import type { EndpointQueue, ChosenEndpoint, QueuePlace } from './endpoint-queue.js';
-import type { RunningSend, SendResult } from './endpoint-sender.js';
+import type { RunningSend, SendResult, SilenceRule } from './endpoint-sender.js';
 import type { ForwardEnd, ForwardTask, ForwarderOptions } from './forward-task.js';
 import type { EndpointHead } from './protocol.js';
 import { RequestPlan } from './request-plan.js';
@@ -135,7 +135,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, { endpointId, timeLeftMs, resumeAfterEventId }),
         body: request.body,
-        ...this.silenceLimit(),
+        ...this.silenceRule(),
       },
       {
         onHead: (head) => {
@@ -147,6 +147,9 @@
           this.firstPartMs ??= nowMs() - sentAtMs;
           return this.pass(bytes, event?.id);
         },
+        onSilence: (isSilent) => {
+          this.logSilence(endpoint, isSilent);
+        },
       },
     );
     this.running = running;
@@ -164,12 +167,16 @@
     return result;
   }
 
-  /** Only a stream that may go on elsewhere is given up because its endpoint is silent. */
-  private silenceLimit(): { readonly silenceLimitMs?: number } {
-    const { targetMs, longestPauseMs } = this.task.route;
-    if (!this.plan.mayGoOnElsewhere) return {};
+  /**
+   * Only a stream that may go on elsewhere is given up because its endpoint is silent. Other
+   * answers than streams come at once at the end: silence says nothing of them.
+   */
+  private silenceRule(): { readonly silence?: SilenceRule } {
+    const { kind, targetMs, longestPauseMs } = this.task.route;
+    if (kind !== 'stream') return {};
     const lateMs = Math.max(targetMs, longestPauseMs);
-    return { silenceLimitMs: Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * lateMs) };
+    const limitMs = Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * lateMs);
+    return { silence: { limitMs, then: this.plan.mayGoOnElsewhere ? 'giveUp' : 'tell' } };
   }
 
   /** A stream that goes on elsewhere keeps the head of its first endpoint. */
@@ -248,6 +255,16 @@
     });
   }
 
+  private logSilence(endpoint: ChosenEndpoint, isSilent: boolean): void {
+    this.options.logger.info(isSilent ? 'endpoint is silent' : 'endpoint is heard again', {
+      step: 'forward',
+      request: this.task.request.requestId,
+      endpoint: endpoint.endpointId,
+      peer: endpoint.address,
+      hasBegun: this.firstPartMs !== undefined,
+    });
+  }
+
   private logEnd(endpoint: ChosenEndpoint, result: SendResult): void {
     const detail = result.kind === 'ended' ? result.outcome : undefined;
     const reason = detail !== undefined && 'reason' in detail ? detail.reason : undefined;
@@ -257,6 +274,7 @@
       endpoint: endpoint.endpointId,
       peer: endpoint.address,
       outcome: detail?.kind ?? result.kind,
+      hasBegun: this.firstPartMs !== undefined,
       ...(reason === undefined ? {} : { reason }),
     });
   }
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -68,7 +68,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, terms),
         body: request.body,
-        silenceLimitMs: SILENCE_LIMIT_MS,
+        silence: { limitMs: SILENCE_LIMIT_MS, then: 'giveUp' },
       },
       {
         onHead: () => undefined,
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -75,6 +75,9 @@
         options.logger.info('control process connected', { peer: name, step: 'join' });
         this.announceTo(name);
       },
+      onLost: (peer, loss) => {
+        options.logger.info('connection to a peer lost', { step: 'join', peer, ...loss });
+      },
     });
   }
 
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -43,7 +43,9 @@
   /** An endpoint answers nothing. */
   | 'endpointHang'
   /** An endpoint says that it leaves, serves on for a while, and is replaced. */
-  | 'endpointLeave';
+  | 'endpointLeave'
+  /** All open connections go silent for good, without a word to either end; new ones work. */
+  | 'silenceOpen';
 
 /** One fault. */
 export interface Fault {
@@ -65,6 +67,11 @@
   readonly toleratedLosses: number;
   /** Kinds to draw from; all where it is left out. */
   readonly kinds?: readonly FaultKind[];
+  /**
+   * Times that all open connections go silent, beside what is drawn otherwise: the plan of a
+   * seed without them stays what it was.
+   */
+  readonly silences?: number;
 }
 
 /** Faults that cut nothing if the programs keep their word. */
@@ -95,6 +102,8 @@
 const SERIES_SHARE = 0.2;
 /** Pause between the steps of a series on the same target. */
 const SERIES_GAP_MS = 400;
+/** Keeps the draws of silent connections apart from all others. */
+const SILENCE_SEED_OFFSET = 1_000_003;
 
 /** Whether a fault is work that operators plan. */
 export function isPlanned(fault: Fault): boolean {
@@ -121,7 +130,18 @@
 
 /** The faults of a seed, in order of time. */
 export function planFaults(options: FaultPlanOptions): Fault[] {
-  return new FaultPlanner(options).plan();
+  const drawn = new FaultPlanner(options).plan();
+  return [...drawn, ...planSilences(options)].sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Drawn from a source of their own, one in each equal part of the time. */
+function planSilences({ seed, durationMs, silences = 0 }: FaultPlanOptions): Fault[] {
+  const random = seededRandom(seed + SILENCE_SEED_OFFSET);
+  const partMs = (durationMs - FIRST_FAULT_MS) / Math.max(1, silences);
+  return Array.from({ length: silences }, (_, index): Fault => {
+    const atMs = Math.round(FIRST_FAULT_MS + (index + random()) * partMs);
+    return { kind: 'silenceOpen', target: '', atMs, forMs: MIN_FAULT_MS };
+  });
 }
 
 class FaultPlanner {
--- a/packages/soak/src/fleet-wire.ts
+++ b/packages/soak/src/fleet-wire.ts
@@ -40,6 +40,9 @@
 /** Options of an endpoint. */
 export interface SoakEndpointOptions {
   readonly endpointId: string;
+  /** IP number that it makes known; that of a relay where one stands before it. */
+  readonly announcedHost: string;
+  /** IP number that it listens on. */
   readonly host: string;
   readonly port: number;
   /** Told when it begins to run a request. */
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -67,6 +67,7 @@
   readonly kind: RequestKind;
   readonly sentAtMs: number;
   end?: RequestEnd;
+  endedAtMs?: number;
   readonly ranAtMs: number[];
 }
 
@@ -103,6 +104,7 @@
     const note = this.requests.get(requestId);
     if (note === undefined) return;
     note.end = end;
+    note.endedAtMs = atMs;
     this.count(`requests ${end.kind}`);
     if (end.kind === 'complete' && end.text !== wholeText(requestId)) {
       this.broken('whole own answers', atMs, `${requestId} got ${end.text.slice(0, 80)}`);
@@ -115,6 +117,21 @@
     }
   }
 
+  /** Share of the requests sent in a span of time that were answered whole in time; 1 of none. */
+  servedShare(
+    { fromMs, untilMs }: { readonly fromMs: number; readonly untilMs: number },
+    withinMs: number,
+  ): number {
+    const sent = [...this.requests.values()].filter(
+      ({ sentAtMs }) => sentAtMs >= fromMs && sentAtMs < untilMs,
+    );
+    const served = sent.filter(
+      ({ end, endedAtMs = Infinity, sentAtMs }) =>
+        end?.kind === 'complete' && endedAtMs - sentAtMs <= withinMs,
+    );
+    return sent.length === 0 ? 1 : served.length / sent.length;
+  }
+
   /** An endpoint begins to run a request. */
   ran(requestId: string, endpointId: string, atMs: number): void {
     this.count('runs');
--- a/packages/soak/src/relay.ts
+++ b/packages/soak/src/relay.ts
@@ -26,12 +26,18 @@
 /** Tells what happens to bytes on their way from one process to another, by IP number. */
 export type HarmBetween = (fromHost: string, toHost: string) => Harm;
 
+/** The two halves of a connection that passes through a relay. */
+interface Joined {
+  isSilent: boolean;
+}
+
 /** Relay in front of one port of one process. */
 export class Relay {
   private readonly options: RelayOptions;
   private readonly harmBetween: HarmBetween;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private readonly joined = new Set<Joined>();
 
   constructor(options: RelayOptions, harmBetween: HarmBetween) {
     this.options = options;
@@ -55,6 +61,11 @@
     for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
+  /** All open connections go silent for good; neither end is told, and new ones work. */
+  silenceOpen(): void {
+    for (const connection of this.joined) connection.isSilent = true;
+  }
+
   /** Closes it for good. */
   async close(): Promise<void> {
     this.reset();
@@ -65,12 +76,15 @@
     const { processHost, port } = this.options;
     const peerHost = incoming.remoteAddress ?? '';
     const outgoing = connect({ host: processHost, port });
-    this.pass(incoming, outgoing, () => this.harmBetween(peerHost, processHost));
-    this.pass(outgoing, incoming, () => this.harmBetween(processHost, peerHost));
+    const connection: Joined = { isSilent: false };
+    this.joined.add(connection);
+    incoming.on('close', () => this.joined.delete(connection));
+    this.pass(connection, incoming, outgoing, () => this.harmBetween(peerHost, processHost));
+    this.pass(connection, outgoing, incoming, () => this.harmBetween(processHost, peerHost));
   }
 
   /** What is stopped waits and goes on later, like the packets of a link that was cut. */
-  private pass(from: Socket, to: Socket, harm: () => Harm): void {
+  private pass(connection: Joined, from: Socket, to: Socket, harm: () => Harm): void {
     const queue: Buffer[] = [];
     let isFlowing = false;
     const flow = (): void => {
@@ -88,6 +102,7 @@
     };
     this.sockets.add(from);
     from.on('data', (chunk: Buffer) => {
+      if (connection.isSilent) return;
       queue.push(chunk);
       if (isFlowing) return;
       isFlowing = true;
@@ -95,6 +110,7 @@
     });
     // Ends of a connection do not get through a cut either; resets of the peer are its own affair.
     const endWhenFree = (): void => {
+      if (connection.isSilent) return;
       if (harm().isStopped) setTimeout(endWhenFree, POLL_MS);
       else to.destroy();
     };
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -29,11 +29,17 @@
 }
 
 /** One line about a seed, for a terminal. */
-export function soakLine({ seed, faults, breaks, tookMs }: SoakOutcome): string {
+export function soakLine({ seed, faults, breaks, silences, tookMs }: SoakOutcome): string {
   const verdict = breaks.length === 0 ? 'kept' : `${breaks.length} broken`;
   const first = breaks[0];
   const detail = first === undefined ? '' : `: ${first.promise}, ${first.detail}`;
-  return `seed ${seed}  ${verdict}  ${faults.length} faults  ${Math.round(tookMs / 1000)} s${detail}`;
+  const seconds = Math.round(tookMs / 1000);
+  const service = silences.map(
+    ({ beforeShare, afterShare }) =>
+      `  served ${beforeShare.toFixed(2)} -> ${afterShare.toFixed(2)}`,
+  );
+  const line = `seed ${seed}  ${verdict}  ${faults.length} faults  ${seconds} s`;
+  return line + service.join('') + detail;
 }
 
 function breaksOf({ seed, breaks }: SoakOutcome): string[] {
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -37,6 +37,11 @@
   readonly nowMs: () => number;
   /** Entries that callers would be sent to now. */
   readonly usableEntries: () => readonly Place[];
+  /**
+   * Requests a second of callers that do not wait for the answers of others, beside those that
+   * do: what is lost does not make the load smaller.
+   */
+  readonly pacedPerS?: number;
 }
 
 /** Everything that uses the fleet in one run. */
@@ -62,6 +67,8 @@
   start(): void {
     for (let caller = 0; caller < CALLERS; caller += 1) this.loops.push(this.callerLoop());
     this.loops.push(this.jobLoop(), this.operatorLoop(), this.configurationReadLoop());
+    const { pacedPerS = 0 } = this.options;
+    if (pacedPerS > 0) this.loops.push(this.pacedLoop(1000 / pacedPerS));
   }
 
   /** Starts nothing new, and waits for what is under way. */
@@ -71,13 +78,8 @@
   }
 
   /** Sends one request through an entry; true where it was answered whole. */
-  async probe(entry: Place): Promise<boolean> {
-    const caller = this.options.wire.openCaller(entry);
-    try {
-      return await this.request(caller, entry, 'repeatable');
-    } finally {
-      await caller.close();
-    }
+  probe(entry: Place): Promise<boolean> {
+    return this.requestAlone(entry, 'repeatable');
   }
 
   /** Reads all results of a job again, at one entry. */
@@ -135,6 +137,28 @@
     }
   }
 
+  /** Each request on a connection of its own, by turns at all entries. */
+  private async pacedLoop(pauseMs: number): Promise<void> {
+    const open: Promise<unknown>[] = [];
+    for (let turn = 0; !this.stopped; turn += 1) {
+      const usable = this.options.usableEntries();
+      const entry = usable[turn % Math.max(1, usable.length)];
+      const kind = KINDS[Math.floor(turn / Math.max(1, usable.length)) % KINDS.length];
+      if (entry !== undefined && kind !== undefined) open.push(this.requestAlone(entry, kind));
+      await pause(pauseMs);
+    }
+    await Promise.all(open);
+  }
+
+  private async requestAlone(entry: Place, kind: RequestKind): Promise<boolean> {
+    const caller = this.options.wire.openCaller(entry);
+    try {
+      return await this.request(caller, entry, kind);
+    } finally {
+      await caller.close();
+    }
+  }
+
   private isStopped(): boolean {
     return this.stopped;
   }
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -30,6 +30,14 @@
 const ENDPOINT_PORT = 8080;
 /** Endpoints live above the processes and their relays. */
 const FIRST_ENDPOINT_HOST = 200;
+/** Endpoints with a relay before them listen this far above it. */
+const ENDPOINT_PROCESS_OFFSET = 25;
+/** Load that goes on while all connections are silent; a third of what the endpoints can run. */
+const PACED_PER_S = 25;
+/** Time before and after a silence over which service is compared. */
+const COMPARE_MS = 3000;
+/** Time within which a request counts as served; undisturbed ones take a tenth of it. */
+const SERVED_WITHIN_MS = 1500;
 const PROCESS_HOST_OFFSET = 100;
 
 /** Options of {@link runSoak}. */
@@ -44,6 +52,8 @@
   readonly kinds?: readonly FaultKind[];
   /** Peer ports that relays stand before. */
   readonly peerPortOf: (role: Role) => number;
+  /** Times that all open connections go silent; with any, relays stand before endpoints too. */
+  readonly silences?: number;
 }
 
 /** Outcome of a run. */
@@ -52,9 +62,19 @@
   readonly faults: readonly Fault[];
   readonly breaks: readonly Break[];
   readonly counts: Readonly<Record<string, number>>;
+  /** Service before and after each time that all open connections went silent. */
+  readonly silences: readonly SilenceService[];
   readonly tookMs: number;
 }
 
+/** Service around the moment at which all open connections went silent. */
+export interface SilenceService {
+  /** Share of the requests of the seconds before that were answered in time. */
+  readonly beforeShare: number;
+  /** The same for the seconds after. */
+  readonly afterShare: number;
+}
+
 const DEFAULT_COUNTS = { control: 3, store: 3, entry: 4, endpoint: 5 };
 
 /** Plays one seed. */
@@ -102,6 +122,7 @@
       endpoints: this.endpointNames,
       toleratedLosses: 1,
       ...(options.kinds === undefined ? {} : { kinds: options.kinds }),
+      silences: options.silences ?? 0,
     });
     this.processes = this.createProcesses();
     this.heartbeats = new Heartbeats(this.wire, this.ofRole('control'));
@@ -120,6 +141,7 @@
       controls: this.ofRole('control'),
       nowMs: () => this.nowMs(),
       usableEntries: () => this.usableEntries(),
+      pacedPerS: (options.silences ?? 0) > 0 ? PACED_PER_S : 0,
     });
   }
 
@@ -138,6 +160,7 @@
       faults: this.faults,
       breaks,
       counts: Object.fromEntries(this.ledger.counts),
+      silences: this.silences(),
       tookMs: Math.round(this.nowMs()),
     };
     await writeFile(join(this.options.folder, 'outcome.json'), JSON.stringify(outcome, null, 2));
@@ -205,13 +228,39 @@
     };
   }
 
+  /** Service around each silence of all connections, from what callers saw. */
+  private silences(): SilenceService[] {
+    const share = (fromMs: number): number =>
+      this.ledger.servedShare({ fromMs, untilMs: fromMs + COMPARE_MS }, SERVED_WITHIN_MS);
+    return this.faults
+      .filter(({ kind }) => kind === 'silenceOpen')
+      .map(({ atMs }) => ({
+        beforeShare: share(this.planZeroMs + atMs - COMPARE_MS),
+        afterShare: share(this.planZeroMs + atMs),
+      }));
+  }
+
+  /** Where an endpoint listens: behind a relay, where connections are to go silent. */
+  private async endpointHost(name: string): Promise<string> {
+    const number = Number(name.split('-')[1]);
+    const network = networkOf(this.options.seed);
+    const host = `${network}.${FIRST_ENDPOINT_HOST + number}`;
+    if ((this.options.silences ?? 0) === 0) return host;
+    const processHost = `${network}.${FIRST_ENDPOINT_HOST + ENDPOINT_PROCESS_OFFSET + number}`;
+    const relay = new Relay({ host, processHost, port: ENDPOINT_PORT }, () => UNHARMED);
+    await relay.listen();
+    this.relays.set(name, relay);
+    return processHost;
+  }
+
   private async startEndpoint(name: string): Promise<void> {
     this.endpointRuns += 1;
     const number = Number(name.split('-')[1]);
     const endpointId = `${name}-run-${this.endpointRuns}`;
     const endpoint = await this.wire.startEndpoint({
       endpointId,
-      host: `${networkOf(this.options.seed)}.${FIRST_ENDPOINT_HOST + number}`,
+      announcedHost: `${networkOf(this.options.seed)}.${FIRST_ENDPOINT_HOST + number}`,
+      host: await this.endpointHost(name),
       port: ENDPOINT_PORT,
       onRun: (requestId) => {
         this.ledger.ran(requestId, endpointId, this.nowMs());
@@ -240,6 +289,9 @@
         this.harmFor(target, forMs, { isStopped: false, delayMs: DELAY_MS }, true),
       )
       .with('reset', () => this.relays.get(target)?.reset())
+      .with('silenceOpen', () => {
+        for (const relay of this.relays.values()) relay.silenceOpen();
+      })
       .with('killAll', () => this.killAll(forMs))
       .with('endpointCrash', () => this.crashEndpoint(target, forMs))
       .with('endpointHang', () => this.hangEndpoint(target, forMs))
@@ -302,11 +354,17 @@
     const endpoint = this.endpoints.get(name);
     if (endpoint === undefined) return;
     this.heartbeats.remove(endpoint.endpointId);
-    await endpoint.crash();
+    await this.endEndpoint(name, endpoint);
     await pause(forMs);
     await this.startEndpoint(name);
   }
 
+  private async endEndpoint(name: string, endpoint: SoakEndpoint): Promise<void> {
+    await endpoint.crash();
+    await this.relays.get(name)?.close();
+    this.relays.delete(name);
+  }
+
   private async hangEndpoint(name: string, forMs: number): Promise<void> {
     const endpoint = this.endpoints.get(name);
     endpoint?.setHanging(true);
@@ -326,7 +384,7 @@
       await this.heartbeats.beat(endpoint, true);
       await pause(HEARTBEAT_MS);
     }
-    await endpoint.crash();
+    await this.endEndpoint(name, endpoint);
     await this.startEndpoint(name);
   }
 
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -33,6 +33,14 @@
   onMessage(method: string, payload: unknown, link: Link): void;
 }
 
+/** Why a connection that was up is no longer. */
+export interface LinkLoss {
+  /** `silent`: nothing was heard for too long, and this side cut it. */
+  readonly reason: 'closed' | 'silent';
+  /** Time since the peer was last heard. */
+  readonly silentMs: number;
+}
+
 /** Options of {@link Link}. */
 export interface LinkOptions {
   readonly socket: WebSocket;
@@ -65,6 +73,7 @@
   private sentByteCount = 0;
   private lastHeardMs = performance.now();
   private pingTimer: NodeJS.Timeout | undefined;
+  private lossReason: LinkLoss['reason'] = 'closed';
 
   constructor(options: LinkOptions) {
     this.options = options;
@@ -102,6 +111,12 @@
     return this.sentByteCount;
   }
 
+  /** Why the connection is down; undefined where it never was up. */
+  get loss(): LinkLoss | undefined {
+    if (!this.proven) return undefined;
+    return { reason: this.lossReason, silentMs: Math.round(performance.now() - this.lastHeardMs) };
+  }
+
   /** Begins the handshake. */
   start(): void {
     this.write(['hello', this.ownHello]);
@@ -220,6 +235,7 @@
   private checkSilence(): void {
     const silentMs = performance.now() - this.lastHeardMs;
     if (silentMs > SILENCE_LIMIT_MS) {
+      this.lossReason = 'silent';
       this.socket.terminate();
       return;
     }
--- a/packages/transport/src/peer-book.ts
+++ b/packages/transport/src/peer-book.ts
@@ -1,7 +1,7 @@
 /**
  * Connections to a set of peers that changes while the process runs.
  */
-import type { LinkHandlers } from './link.js';
+import type { LinkHandlers, LinkLoss } from './link.js';
 import { PeerClient } from './peer-client.js';
 
 /** Where a peer takes connections. */
@@ -21,6 +21,8 @@
   readonly handlers?: Partial<LinkHandlers>;
   /** Called with the name of a peer whenever a connection to it has been proven. */
   readonly onReady?: (peerName: string) => void;
+  /** Called when the connection to a peer was lost; it is opened again. */
+  readonly onLost?: (peerName: string, loss: LinkLoss) => void;
   /**
    * Time that a connection is kept after its peer is no longer wanted: one that is wanted again
    * soon need not be opened anew.
@@ -59,7 +61,7 @@
   add(address: PeerAddress): void {
     if (this.closed || address.name === this.options.name) return;
     if (this.clients.has(address.name)) return;
-    const { name, secret, localAddress, handlers, onReady } = this.options;
+    const { name, secret, localAddress, handlers, onReady, onLost } = this.options;
     const client = new PeerClient({
       name,
       secret,
@@ -68,6 +70,7 @@
       ...(localAddress === undefined ? {} : { localAddress }),
       ...(handlers === undefined ? {} : { handlers }),
       onReady: () => onReady?.(address.name),
+      onLost: (loss) => onLost?.(address.name, loss),
     });
     this.clients.set(address.name, client);
   }
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -4,7 +4,7 @@
 import { WebSocket } from 'ws';
 import { ShedlineError } from '@shedline/errors';
 import { Link } from './link.js';
-import type { LinkHandlers } from './link.js';
+import type { LinkHandlers, LinkLoss } from './link.js';
 
 const FIRST_RETRY_MS = 50;
 const MAX_RETRY_MS = 1000;
@@ -23,6 +23,8 @@
   readonly localAddress?: string;
   readonly handlers?: Partial<LinkHandlers>;
   readonly onReady?: () => void;
+  /** Called when a connection that was up is not any more, but for {@link PeerClient.close}. */
+  readonly onLost?: (loss: LinkLoss) => void;
 }
 
 /** A lasting connection to a peer. */
@@ -119,8 +121,10 @@
 
   private onClosed(): void {
     this.earlierBytes += this.link?.sentBytes ?? 0;
+    const loss = this.link?.loss;
     this.link = undefined;
     if (this.closed) return;
+    if (loss !== undefined) this.options.onLost?.(loss);
     this.retryTimer = setTimeout(() => {
       this.open();
     }, this.retryMs);
