--- a/packages/test-utils/src/cuttable-relay.ts
+++ b/packages/test-utils/src/cuttable-relay.ts
@@ -10,6 +10,8 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private isCut = false;
+  /** Ends of connections that have gone silent for good. */
+  private readonly silent = new WeakSet<Socket>();
 
   private constructor(targetPort: () => number) {
     this.server = createServer((incoming) => {
@@ -41,6 +43,11 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Lets all open connections go silent for good; neither end is told, and new ones work. */
+  silenceOpen(): void {
+    for (const socket of this.sockets) this.silent.add(socket);
+  }
+
   /** Ends the relay. */
   async close(): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
@@ -50,12 +57,12 @@
   private join(from: Socket, to: Socket): void {
     this.sockets.add(from);
     from.on('data', (bytes: Buffer) => {
-      if (!this.isCut) to.write(bytes);
+      if (!this.isCut && !this.silent.has(from)) to.write(bytes);
     });
     from.on('error', () => undefined);
     from.on('close', () => {
       this.sockets.delete(from);
-      if (!this.isCut) to.destroy();
+      if (!this.isCut && !this.silent.has(from)) to.destroy();
     });
   }
 }
