Requests that may run once only get a connection of their own; silent sends give their slot back

Cause: kept connections were trusted for 4 s (and for as long as endpoints allowed), each silent one took a request with it, and the loss warned none of the others. What nobody could go on for kept its slot until its deadline, here and at every entry that heard the counts. Silence after an answer had begun counted against its endpoint.

A silent send frees its place, and takes it again if the endpoint goes on. Silence after the beginning of an answer says nothing of its endpoint: the next request opens a connection and finds out.

--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -68,6 +68,7 @@
       path: '/',
       headers: [],
       body: Buffer.from('body'),
+      mayBeRepeated: true,
       ...(silenceLimitMs === undefined
         ? {}
         : { silence: { limitMs: silenceLimitMs, then: 'giveUp' } }),
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -1,24 +1,15 @@
 /**
- * Sends one request to one endpoint over kept connections and reports how it ended. It decides
- * nothing: what an outcome means for the request is up to its plan.
+ * Sends one request to one endpoint and reports how it ended. It decides nothing: what an outcome
+ * means for the request is up to its plan.
  */
-import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import { connectorWithin } from '@shedline/http-connector';
+import { EndpointConnections } from './endpoint-connections.js';
 import { EventFramer } from './event-framer.js';
 import type { StreamEvent } from './event-framer.js';
 import type { EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
 import type { SendOutcome } from './request-plan.js';
 import { SilenceWatch } from './silence-watch.js';
 
-/**
- * Longest time that a connection may take to open; an endpoint without power never answers, and
- * another one may still answer within the usual target of 300 ms. Zones are 2 ms apart there and
- * back, and a lost packet is sent again only after a second.
- */
-const CONNECT_TIMEOUT_MS = 180;
-/** Time that an idle connection is kept, unless the endpoint says less. */
-const IDLE_CONNECTION_MS = 4000;
 /** Stands for the name of a server that is not asked for its certificate. */
 const NO_SERVER_NAME = 'none';
 /** Largest body of a failure that is kept to be passed on. */
@@ -33,6 +24,8 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Whether the request may be sent again if this send is lost. */
+  readonly mayBeRepeated: boolean;
   /** What to do when the endpoint says nothing for too long; undefined: nothing. */
   readonly silence?: SilenceRule;
 }
@@ -78,19 +71,15 @@
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
   readonly protocol: EndpointProtocol;
-  /** Most connections to one endpoint. */
-  readonly maxConnections?: number;
 }
 
-/** {@link RequestSender} over kept connections. */
+/** {@link RequestSender} over HTTP connections. */
 export class EndpointSender implements RequestSender {
   private readonly protocol: EndpointProtocol;
-  private readonly maxConnections: number;
-  private readonly pools = new Map<string, Pool>();
+  private readonly connections = new EndpointConnections();
 
   constructor(options: EndpointSenderOptions) {
     this.protocol = options.protocol;
-    this.maxConnections = options.maxConnections ?? 64;
   }
 
   /** Begins a send. */
@@ -107,41 +96,23 @@
       // expression that takes 50 ms to compile when the first request comes.
       servername: NO_SERVER_NAME,
     };
-    this.poolOf(send.address).dispatch(options, running);
+    this.connections.dispatch(send.address, options, running, send.mayBeRepeated);
     return running;
   }
 
   /** Closes the connections to an endpoint that is gone. */
   forget(address: string): void {
-    const pool = this.pools.get(address);
-    this.pools.delete(address);
-    // Requests under way end by themselves; a failure to close leaves nothing to do.
-    pool?.close().catch(() => undefined);
+    this.connections.forget(address);
   }
 
   /** Addresses with connections. */
   get addresses(): string[] {
-    return [...this.pools.keys()];
+    return this.connections.addresses;
   }
 
   /** Breaks all connections. */
-  async destroy(): Promise<void> {
-    const pools = [...this.pools.values()];
-    this.pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
-  }
-
-  private poolOf(address: string): Pool {
-    const known = this.pools.get(address);
-    if (known !== undefined) return known;
-    const pool = new Pool(`http://${address}`, {
-      connections: this.maxConnections,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_CONNECTION_MS,
-      connect: connectorWithin(CONNECT_TIMEOUT_MS),
-    });
-    this.pools.set(address, pool);
-    return pool;
+  destroy(): Promise<void> {
+    return this.connections.destroy();
   }
 }
 
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -29,6 +29,8 @@
   private headSent = false;
   private running: RunningSend | undefined;
   private firstPartMs: number | undefined;
+  /** Whether the send under way counts at its endpoint. */
+  private holdsPlace = false;
   private pendingHead: EndpointHead | undefined;
 
   constructor(options: ForwarderOptions, queue: EndpointQueue, task: ForwardTask) {
@@ -115,6 +117,29 @@
     this.queue.ended(this.task.service, runMs);
   }
 
+  /**
+   * Silence means that the connection or the endpoint is gone, unless the request waits there for
+   * its turn: its place is free for others, though the caller may still get an answer. Otherwise what was
+   * under way when connections went silent would make idle endpoints look full until its deadline.
+   */
+  private vacate(endpointId: string): void {
+    const hasBegun = this.firstPartMs !== undefined;
+    if (!hasBegun && this.options.chooser.mayBeWaiting(endpointId)) return;
+    this.holdsPlace = false;
+    const kind = hasBegun ? 'brokeOff' : 'lost';
+    this.release(endpointId, {
+      kind: 'ended',
+      outcome: { kind, reason: 'silent', isSilence: true },
+    });
+  }
+
+  /** The endpoint goes on with a request that had given its place back. */
+  private occupy(endpointId: string): void {
+    if (this.holdsPlace) return;
+    this.holdsPlace = true;
+    this.options.chooser.began(endpointId);
+  }
+
   private async sendTo(
     endpoint: ChosenEndpoint,
     resumeAfterEventId: string | undefined,
@@ -123,6 +148,7 @@
     const { request } = this.task;
     const { endpointId, address } = endpoint;
     this.tried.add(endpointId);
+    this.holdsPlace = true;
     this.logSend(endpoint, resumeAfterEventId);
     const timeLeftMs = this.plan.timeLeftMs(nowMs());
     const sentAtMs = nowMs();
@@ -135,6 +161,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, { endpointId, timeLeftMs, resumeAfterEventId }),
         body: request.body,
+        mayBeRepeated: this.plan.mayBeRepeated,
         ...this.silenceRule(),
       },
       {
@@ -149,6 +176,8 @@
         },
         onSilence: (isSilent) => {
           this.logSilence(endpoint, isSilent);
+          if (isSilent) this.vacate(endpointId);
+          else this.occupy(endpointId);
         },
       },
     );
@@ -162,7 +191,7 @@
     this.running = undefined;
     if (result.kind === 'complete') this.sendHead();
     const runMs = result.kind === 'complete' ? nowMs() - sentAtMs : undefined;
-    this.release(endpointId, result, runMs);
+    if (this.holdsPlace) this.release(endpointId, result, runMs);
     if (result.kind !== 'complete') this.logEnd(endpoint, result);
     return result;
   }
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -79,6 +79,9 @@
   ended(): void {
     this.places += 1;
   }
+  mayBeWaiting(): boolean {
+    return false;
+  }
 }
 
 /** Counts sends; none of them ends before it is stopped. */
--- a/packages/forwarding/src/request-plan.ts
+++ b/packages/forwarding/src/request-plan.ts
@@ -73,10 +73,16 @@
     return this.mayHaveRun;
   }
 
+  /** Whether the request may be sent again if the next send is lost. */
+  get mayBeRepeated(): boolean {
+    const { kind, isResumable, maxAttempts } = this.options;
+    const isRepeatable = kind === 'idempotent' || (kind === 'stream' && isResumable);
+    return isRepeatable && this.runCount + 1 < maxAttempts;
+  }
+
   /** Whether, once sent, the request may still go on at another endpoint after this one. */
   get mayGoOnElsewhere(): boolean {
-    const { kind, isResumable, maxAttempts } = this.options;
-    return kind === 'stream' && isResumable && this.runCount + 1 < maxAttempts;
+    return this.options.kind === 'stream' && this.mayBeRepeated;
   }
 
   /** Time left, in whole milliseconds. */
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -63,14 +63,12 @@
 
 /** An endpoint behind a relay; `/hold` sends one event and no more. */
 class RelayedEndpoint {
-  readonly requests: string[] = [];
   readonly relay: CuttableRelay;
   private readonly server: Server;
 
   private constructor(server: Server, relay: CuttableRelay) {
     this.server = server;
     this.relay = relay;
-    server.on('request', (incoming) => this.requests.push(String(incoming.headers.id)));
   }
 
   static async start(): Promise<RelayedEndpoint> {
@@ -129,14 +127,25 @@
   ended(): void {
     this.underWay -= 1;
   }
+
+  mayBeWaiting(): boolean {
+    return false;
+  }
 }
 
 /** A caller that waits to the end. */
 class PatientCaller implements AnswerSink {
+  private readonly onEvent: () => void;
+
+  constructor(onEvent: () => void) {
+    this.onEvent = onEvent;
+  }
+
   head(): void {
     // Only how the request ends counts here.
   }
   write(): boolean {
+    this.onEvent();
     return true;
   }
   onDrain(): void {
@@ -162,6 +171,8 @@
   private readonly sender = new EndpointSender({ protocol: PROTOCOL });
   private readonly forwarder: Forwarder;
   private sent = 0;
+  /** Events that have reached callers. */
+  events = 0;
 
   private constructor(endpoints: readonly RelayedEndpoint[]) {
     this.endpoints = endpoints;
@@ -191,7 +202,9 @@
       version: 1,
       deadlineMs: nowMs + DEADLINE_MS,
       firstAskedAtMs: nowMs,
-      sink: new PatientCaller(),
+      sink: new PatientCaller(() => {
+        this.events += 1;
+      }),
     });
   }
 
@@ -243,13 +256,14 @@
       hasEnded = true;
       return end;
     });
-    while (setup.endpoints[0]?.requests.length === 0) await pause(5);
+    while (setup.events === 0) await pause(5);
     t.is(setup.chooser.underWay, 1);
     setup.endpoints[0]?.relay.silenceOpen();
     while (setup.chooser.underWay > 0) await pause(5);
     t.false(hasEnded);
-    t.is(await held, 'cut');
-    t.is(setup.chooser.underWay, 0);
+    const end = await held;
     await setup.close();
+    t.is(end, 'cut');
+    t.is(setup.chooser.underWay, 0);
   });
 });
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -180,7 +180,7 @@
       result.kind === 'ended' &&
       result.outcome.kind !== 'refused' &&
       result.outcome.kind !== 'failed';
-    if (!isFailure || this.mayBeWaiting(endpointId, result)) {
+    if (!isFailure || this.saysNothing(endpointId, result)) {
       this.directory.inconclusive(endpointId);
       return;
     }
@@ -188,6 +188,13 @@
     if (result.outcome.kind === 'notSent') this.directory.failed(endpointId, nowMs);
   }
 
+  mayBeWaiting(endpointId: string): boolean {
+    const known = this.directory.get(endpointId);
+    if (known === undefined) return false;
+    const { online, batch, slots } = this.candidateOf(known, this.options.nowMs());
+    return online + batch >= slots;
+  }
+
   /** What this entry has under way. */
   ownLoads(): LoadCount[] {
     return this.loads.own();
@@ -216,13 +223,14 @@
     return this.routing.choose(candidates, availabilityZone);
   }
 
-  /** Silence says nothing of an endpoint that has more requests than it runs at once. */
-  private mayBeWaiting(endpointId: string, result: SendResult): boolean {
+  /**
+   * An answer that fell silent after it had begun tells of its connection: the next request opens a
+   * new one, which fails at once where the endpoint is gone. Silence before that says nothing of
+   * an endpoint that has more requests than it runs at once.
+   */
+  private saysNothing(endpointId: string, result: SendResult): boolean {
     if (result.kind !== 'ended' || !('isSilence' in result.outcome)) return false;
-    const known = this.directory.get(endpointId);
-    if (known === undefined) return false;
-    const { online, batch, slots } = this.candidateOf(known, this.options.nowMs());
-    return online + batch >= slots;
+    return result.outcome.kind === 'brokeOff' || this.mayBeWaiting(endpointId);
   }
 
   private change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -68,6 +68,7 @@
         path: request.path,
         headers: protocol.sendHeaders(request, terms),
         body: request.body,
+        mayBeRepeated: true,
         silence: { limitMs: SILENCE_LIMIT_MS, then: 'giveUp' },
       },
       {
