Failing tests: leases run out while no control process is heard; links notice silence late

Seen in the soak with all connections silent once: every entry refuses everything from 1.0 to 2.7 s after it, since no endpoint holds a lease any more; links are opened anew after 2.8 to 3.5 s, members are dropped after 1.7 s.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -89,6 +89,11 @@
     return this.isGone;
   }
 
+  /** Whether the send under way still counts; asked anew after each wait. */
+  private countsAtEndpoint(): boolean {
+    return this.holdsPlace;
+  }
+
   /** Waits for its turn; undefined where the request cannot be served in its time. */
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
     const { nowMs } = this.options;
@@ -191,7 +196,7 @@
     this.running = undefined;
     if (result.kind === 'complete') this.sendHead();
     const runMs = result.kind === 'complete' ? nowMs() - sentAtMs : undefined;
-    if (this.holdsPlace) this.release(endpointId, result, runMs);
+    if (this.countsAtEndpoint()) this.release(endpointId, result, runMs);
     if (result.kind !== 'complete') this.logEnd(endpoint, result);
     return result;
   }
--- /dev/null
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava';
+import type { AgedHeartbeat } from '@shedline/fleet';
+import { describe, title } from '@shedline/test-utils';
+import { EndpointPool } from './endpoint-pool.js';
+
+const HEARTBEAT_MS = 1200;
+const SERVICE = 's';
+const NONE: ReadonlySet<string> = new Set();
+
+/** A pool on a clock that the test moves. */
+class Setup {
+  nowMs = 10_000;
+  readonly pool = new EndpointPool({
+    availabilityZone: 'z',
+    heartbeatMs: HEARTBEAT_MS,
+    random: () => 0,
+    nowMs: () => this.nowMs,
+    isLeaving: () => false,
+    isInReach: () => true,
+    entryCount: () => 1,
+    onLoadChange: () => undefined,
+    onSlotWanted: () => undefined,
+  });
+  private sequence = 0;
+
+  /** News of a control process that heard these endpoints just now. */
+  hear(...endpointIds: string[]): void {
+    this.sequence += 1;
+    const { sequence } = this;
+    this.pool.hear(
+      endpointIds.map((endpointId): AgedHeartbeat => ({
+        ageMs: 0,
+        heartbeat: {
+          endpointId,
+          service: SERVICE,
+          address: `${endpointId}:1`,
+          availabilityZone: 'z',
+          slots: 8,
+          sequence,
+        },
+      })),
+    );
+  }
+
+  /** Time passes in which control processes are heard, but none of the endpoints. */
+  passWithNews(forMs: number): void {
+    for (let passedMs = 0; passedMs < forMs; passedMs += 100) {
+      this.nowMs += 100;
+      this.hear();
+    }
+  }
+
+  knows(endpointId: string): boolean {
+    return this.pool.isUsable(endpointId);
+  }
+
+  hasRoom(): boolean {
+    return this.pool.choose(SERVICE, NONE) !== undefined;
+  }
+}
+
+describe('leases of endpoints', () => {
+  test(title('an endpoint that is not heard for its lease takes nothing'), (t) => {
+    const setup = new Setup();
+    setup.hear('a');
+    setup.passWithNews(3 * HEARTBEAT_MS - 200);
+    t.true(setup.knows('a'));
+    setup.passWithNews(400);
+    t.false(setup.knows('a'));
+  });
+
+  /**
+   * Callers were refused by every entry for seconds, with all endpoints idle. All connections to
+   * control processes had gone silent, so no heartbeat came, and the leases of all endpoints ran out at
+   * once before the connections were opened anew. The evidence: requests refused after they had waited a
+   * heartbeat interval, with no send, from a second after the silence until the entries logged
+   * that they were connected again.
+   */
+  test(title('an entry that hears no control process keeps the endpoints that it knew'), (t) => {
+    const setup = new Setup();
+    setup.hear('a', 'b');
+    setup.nowMs += 4 * HEARTBEAT_MS;
+    t.true(setup.hasRoom());
+    // The first news after it may not tell of all of them yet.
+    setup.hear('a');
+    t.true(setup.knows('a'));
+    t.true(setup.knows('b'));
+    setup.passWithNews(3 * HEARTBEAT_MS);
+    t.false(setup.knows('b'));
+  });
+
+  test(title('but not for ever'), (t) => {
+    const setup = new Setup();
+    setup.hear('a');
+    setup.nowMs += 60_000;
+    t.false(setup.hasRoom());
+  });
+});
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -17,6 +17,8 @@
 const PING_AFTER_MS = 1100;
 /** Silence after which a peer counts as gone; a host without power closes no connection. */
 const SILENCE_LIMIT_MS = 2800;
+/** Time within which the silence of a link is noticed. */
+export const LINK_SILENCE_NOTICED_MS = SILENCE_LIMIT_MS + SILENCE_CHECK_MS;
 
 type Frame =
   | ['hello', Hello]
