A probe holds its endpoint until its answer begins; a run that is gone is sent one request

After an ejection the one request that tries an endpoint kept all others away until it ended, 0.7 s for a question and 5 s for an item, and such endpoints did not count as ejected, so that more than a third of the fleet could be out. Now the probe ends where its answer begins, and probed endpoints count.

A heartbeat of an earlier run that came late made its address look like an idle endpoint for 3.6 s, as the refusals from there (421) said nothing. They eject now. Tests first, in directory and gateway.

--- a/packages/directory/src/directory.test.ts
+++ b/packages/directory/src/directory.test.ts
@@ -90,6 +90,26 @@
     },
   );
 
+  test(title('a probe keeps an endpoint to itself only until its answer begins'), (t) => {
+    const directory = new EndpointDirectory({ failuresToEject: 1 });
+    for (let n = 1; n <= 6; n += 1) directory.observe(announcement({ endpointId: `e${n}` }), 0, 0);
+    directory.failed('e1', 0);
+    t.false(directory.isUsable('e1', 0));
+    directory.sent('e1');
+    t.false(directory.isUsable('e1', 1100));
+    directory.answers('e1');
+    t.true(directory.isUsable('e1', 1100));
+  });
+
+  test(title('counts endpoints that are probed as ejected'), (t) => {
+    const directory = new EndpointDirectory({ failuresToEject: 1, maxEjectedShare: 0.34 });
+    for (let n = 1; n <= 6; n += 1) directory.observe(announcement({ endpointId: `e${n}` }), 0, 0);
+    for (const id of ['e1', 'e2']) directory.failed(id, 0);
+    for (const id of ['e1', 'e2']) directory.sent(id);
+    for (const id of ['e3', 'e4']) directory.failed(id, 1100);
+    t.is(directory.forModel('m', 1100).length, 4);
+  });
+
   test(
     title('ejects an endpoint much slower than its pool and lets a newcomer start slowly'),
     (t) => {
--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -186,6 +186,11 @@
     if (entry !== undefined && entry.ejections > 0) entry.probing = true;
   }
 
+  /** Notes that the answer to a request has begun: a probe that long is not waited for to its end. */
+  answers(endpointId: string): void {
+    this.inconclusive(endpointId);
+  }
+
   /** Notes that a probe ended without telling anything, as when its caller went away. */
   inconclusive(endpointId: string): void {
     const entry = this.entries.get(endpointId);
@@ -240,7 +245,9 @@
 
   private eject(entry: Entry, nowMs: number): void {
     const pool = this.poolOf(entry, nowMs);
-    const ejected = pool.filter((other) => other !== entry && nowMs < other.ejectedUntilMs).length;
+    const ejected = pool.filter(
+      (other) => other !== entry && !this.isAdmitted(other, nowMs),
+    ).length;
     // With too many out, the trouble is not the endpoint's own: keep using it.
     if (ejected + 1 > pool.length * this.options.maxEjectedShare) return;
     entry.ejections += 1;
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -11,6 +11,8 @@
 export interface EndpointChooser extends EndpointFinder {
   /** A send has ended; `firstPartMs` is the time to the first part of an answer that went well. */
   ended(endpointId: string, result: SendResult, firstPartMs: number | undefined): void;
+  /** The answer to a send has begun. */
+  answers(endpointId: string): void;
   /** Whether a request at the endpoint may be waiting there for its turn. */
   mayBeWaiting(endpointId: string): boolean;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -176,6 +176,7 @@
           if (!head.isEventStream) this.sendHead();
         },
         onPart: (bytes, event) => {
+          if (this.firstPartMs === undefined) this.options.chooser.answers(endpointId);
           this.firstPartMs ??= nowMs() - sentAtMs;
           return this.pass(bytes, event?.id);
         },
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -79,6 +79,9 @@
   ended(): void {
     this.places += 1;
   }
+  answers(): void {
+    // Nothing depends on it here.
+  }
   mayBeWaiting(): boolean {
     return false;
   }
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -128,6 +128,10 @@
     this.underWay -= 1;
   }
 
+  answers(): void {
+    // Nothing depends on it here.
+  }
+
   mayBeWaiting(): boolean {
     return false;
   }
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -90,7 +90,18 @@
     t.false(setup.knows('b'));
   });
 
-  test(title('but not for ever'), (t) => {
+  test(title('an earlier run whose heartbeat came late is sent one request, not all'), (t) => {
+    const setup = new Setup();
+    setup.hear('gone', 'b', 'c', 'd');
+    t.true(setup.knows('gone'));
+    setup.pool.began('gone');
+    const outcome = { kind: 'refused', status: 421 } as const;
+    setup.pool.ended('gone', { kind: 'ended', outcome }, undefined);
+    t.false(setup.knows('gone'));
+    t.true(setup.hasRoom());
+  });
+
+  test(title('leases run out in the end where nothing is heard of anyone'), (t) => {
     const setup = new Setup();
     setup.hear('a');
     setup.nowMs += 60_000;
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -12,8 +12,13 @@
 
 /** Heartbeats that an endpoint may miss. */
 const MISSED_HEARTBEATS = 3;
-/** A connection that cannot be opened counts for two failures. */
+/** Failures in a row that eject; a connection that cannot be opened counts for as many. */
 const FAILURES_TO_EJECT = 2;
+/**
+ * Status of an endpoint that is not the one meant: a heartbeat of an earlier run at its address came
+ * late. What is not there any more looks idle, and would be sent every request for a lease of 3.6 s.
+ */
+const MISDIRECTED_STATUS = 421;
 const FIRST_EJECTION_MS = 800;
 /**
  * Silence of all control processes that still counts against the leases of endpoints; they are
@@ -180,6 +185,10 @@
     this.judge(endpointId, result, firstPartMs);
   }
 
+  answers(endpointId: string): void {
+    this.directory.answers(endpointId);
+  }
+
   /** A batch run begins or ends at an endpoint. */
   batchChange(endpointId: string, by: 1 | -1): void {
     this.change(endpointId, 'batch', by);
@@ -193,6 +202,10 @@
       this.directory.succeeded(endpointId, firstPartMs, nowMs);
       return;
     }
+    if (isMisdirected(result)) {
+      this.eject(endpointId);
+      return;
+    }
     const isFailure =
       result.kind === 'ended' &&
       result.outcome.kind !== 'refused' &&
@@ -201,8 +214,8 @@
       this.directory.inconclusive(endpointId);
       return;
     }
-    this.directory.failed(endpointId, nowMs);
-    if (result.outcome.kind === 'notSent') this.directory.failed(endpointId, nowMs);
+    if (result.outcome.kind === 'notSent') this.eject(endpointId);
+    else this.directory.failed(endpointId, nowMs);
   }
 
   mayBeWaiting(endpointId: string): boolean {
@@ -250,6 +263,13 @@
     return result.outcome.kind === 'brokeOff' || this.mayBeWaiting(endpointId);
   }
 
+  private eject(endpointId: string): void {
+    const nowMs = this.options.nowMs();
+    for (let failure = 0; failure < FAILURES_TO_EJECT; failure += 1) {
+      this.directory.failed(endpointId, nowMs);
+    }
+  }
+
   private change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
     this.loads.change(endpointId, kind, by);
     this.options.onLoadChange(endpointId);
@@ -267,6 +287,11 @@
   }
 }
 
+function isMisdirected(result: SendResult): boolean {
+  if (result.kind !== 'ended' || result.outcome.kind !== 'refused') return false;
+  return result.outcome.status === MISDIRECTED_STATUS;
+}
+
 function announcementOf(heartbeat: EndpointHeartbeat, leaving: boolean): Announcement {
   return {
     endpointId: heartbeat.endpointId,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -30,6 +30,8 @@
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly nowMs: () => number;
+  /** Called once, when the endpoint begins to answer. */
+  readonly onBegun?: () => void;
 }
 
 /** An item under way; it goes on from what earlier runs of the item brought. */
@@ -46,6 +48,7 @@
   private readonly sending: RunningSend;
   private readonly pieces: string[];
   private lastEventId: string | undefined;
+  private hasBegun = false;
 
   constructor(options: ItemRunOptions) {
     const { granted, sender, protocol, endpointId, address } = options;
@@ -74,6 +77,8 @@
       {
         onHead: () => undefined,
         onPart: (bytes, event) => {
+          if (!this.hasBegun) options.onBegun?.();
+          this.hasBegun = true;
           this.pieces.push(event === undefined ? bytes.toString('utf8') : dataOf(event));
           if (event?.id !== undefined) this.lastEventId = event.id;
           return true;
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -257,7 +257,10 @@
     }
     this.runsBegun += 1;
     const runNumber = this.runsBegun;
-    const target = { endpointId, address, sender, protocol, nowMs };
+    const onBegun = (): void => {
+      pool.answers(endpointId);
+    };
+    const target = { endpointId, address, sender, protocol, nowMs, onBegun };
     const run = new ItemRun({ runNumber, group, granted, ...target });
     this.runs.set(keyOf(run.ref), run);
     pool.batchChange(endpointId, 1);
