One connection a pair of entries, and fewer tries at entries that are down

Each pair of entries kept two connections, one each way: 25 handshakes a start and the pings of resting connections twice; a lost one was tried again after 50, 100, 200 ms and on, 10 s long even where its entry had left the lists.

Now the entry of the lower name opens the one connection, both send over it (EntryLinks), it is tried again after 400 ms, and not at all once its entry is not listed.

--- a/packages/fleet-control/src/process-core.ts
+++ b/packages/fleet-control/src/process-core.ts
@@ -82,7 +82,9 @@
   }
 
   /** Connections of this process to some of its peers. */
-  createPeerBook(options: Pick<PeerBookOptions, 'handlers' | 'lingerMs' | 'use'> = {}): PeerBook {
+  createPeerBook(
+    options: Pick<PeerBookOptions, 'handlers' | 'lingerMs' | 'use' | 'firstRetryMs'> = {},
+  ): PeerBook {
     const { logger } = this.options;
     return new PeerBook({
       name: this.name,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -18,6 +18,7 @@
 import type { PeerBook } from '@shedline/transport';
 import { EndpointPool } from './endpoint-pool.js';
 import type { LoadCount } from './endpoint-pool.js';
+import { EntryLinks } from './entry-links.js';
 import { FleetFollower } from './fleet-follower.js';
 import { ItemRunner } from './item-runner.js';
 import { JobDesk } from './job-desk.js';
@@ -33,6 +34,11 @@
  * large fleet moves the division a little, and the next one moves it back.
  */
 const PEER_LINGER_MS = 10_000;
+/**
+ * Pause before a lost connection to another entry is opened again: whoever restarts is up after 400
+ * ms and more, and each try in vain costs more than a millisecond of processor time.
+ */
+const PEER_RETRY_MS = 400;
 /** Longest wait for one control process at the first read before another is asked. */
 const MAX_CONTROL_ATTEMPT_MS = 500;
 /** Longest pause between questions at the first read: callers wait for its answer. */
@@ -78,7 +84,7 @@
   private readonly pool: EndpointPool;
   private readonly sender: EndpointSender;
   private readonly forwarder: Forwarder;
-  private readonly entries: PeerBook;
+  private readonly entries: EntryLinks;
   private readonly stores: PeerBook;
   private readonly exchange: LoadExchange;
   private readonly reach: ReachKeeper;
@@ -108,7 +114,7 @@
       othersReady: () => this.servingEntries().length > 1,
     });
     const { name } = this.core;
-    this.entries = this.core.createPeerBook({ lingerMs: PEER_LINGER_MS });
+    this.entries = this.createEntryLinks();
     this.stores = this.core.createPeerBook({
       handlers: {
         onMessage: (method, payload) => {
@@ -325,6 +331,24 @@
     });
   }
 
+  private createEntryLinks(): EntryLinks {
+    const { core } = this;
+    const opened = core.createPeerBook({
+      lingerMs: PEER_LINGER_MS,
+      firstRetryMs: PEER_RETRY_MS,
+      handlers: {
+        onMessage: (method, payload, link) => {
+          this.onMessage(method, payload, link.peerName);
+        },
+      },
+    });
+    return new EntryLinks({
+      self: core.name,
+      opened,
+      accepted: (peerName) => core.server.linkOf(peerName),
+    });
+  }
+
   private createFollower(): FleetFollower {
     const { controls } = this.core.mesh;
     return new FleetFollower({
@@ -390,7 +414,7 @@
   private wantSlot(endpointId: string): void {
     const owner = this.runner.ownerOf(endpointId);
     if (owner === undefined || owner === this.core.name) this.runner.slotWanted(endpointId);
-    else this.entries.get(owner)?.send('slotWanted', endpointId);
+    else this.entries.send(owner, 'slotWanted', endpointId);
   }
 
   private onMessage(method: string, payload: unknown, from: string): void {
@@ -420,7 +444,7 @@
     this.reach.refresh();
     const peers = new Set(this.reach.peers);
     const sharing = this.core.mesh.live('entry').filter((entry) => peers.has(entry.name));
-    connect(this.entries, sharing);
+    this.entries.keepOnly(sharing);
   }
 
   private sweep(): void {
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -2,8 +2,8 @@
  * Tells the entries that share an endpoint with this one how much work this one has under way
  * there.
  */
-import type { PeerBook } from '@shedline/transport';
 import type { EndpointPool, LoadCount } from './endpoint-pool.js';
+import type { EntryLinks } from './entry-links.js';
 
 /** Changes of this long go out together: shorter than the time to a stream's first event. */
 const COALESCE_MS = 25;
@@ -12,7 +12,7 @@
 
 /** Options of {@link LoadExchange}. */
 export interface LoadExchangeOptions {
-  readonly entries: PeerBook;
+  readonly entries: Pick<EntryLinks, 'send'>;
   readonly pool: () => EndpointPool;
   /** Entries that use an endpoint. */
   readonly usersOf: (endpointId: string) => readonly string[];
@@ -69,6 +69,6 @@
       }
     }
     // There is no connection to this entry itself, nor to one that has just gone.
-    for (const [user, own] of byUser) this.options.entries.get(user)?.send('loads', own);
+    for (const [user, own] of byUser) this.options.entries.send(user, 'loads', own);
   }
 }
--- a/packages/transport/src/peer-book.test.ts
+++ b/packages/transport/src/peer-book.test.ts
@@ -105,6 +105,21 @@
     },
   );
 
+  test(
+    title('does not go on to open a connection that is lost and no longer wanted'),
+    async (t) => {
+      const { server, port } = await peer('far');
+      const book = new PeerBook({ name: 'own', secret: SECRET, lingerMs: 1e6, firstRetryMs: 1e6 });
+      book.add({ name: 'far', host: HOST, port });
+      await until(() => book.ready.length === 1);
+      await server.close();
+      await until(() => book.get('far')?.isDown === true);
+      book.keepOnly(new Set());
+      t.is(book.get('far'), undefined);
+      book.close();
+    },
+  );
+
   test(title('gives a connection up that has fallen silent without closing'), async (t) => {
     const { server, port } = await peer('far');
     const relay = await relayTo(port);
--- a/packages/transport/src/peer-book.ts
+++ b/packages/transport/src/peer-book.ts
@@ -22,6 +22,8 @@
   readonly handlers?: Partial<LinkHandlers>;
   /** How soon silence of a peer has to be noticed; `usual` where it is left out. */
   readonly use?: LinkUse;
+  /** Pause before a lost connection is opened again. */
+  readonly firstRetryMs?: number;
   /** Called with the name of a peer whenever a connection to it has been proven. */
   readonly onReady?: (peerName: string) => void;
   /** Called when the connection to a peer was lost; it is opened again. */
@@ -64,7 +66,8 @@
   add(address: PeerAddress): void {
     if (this.closed || address.name === this.options.name) return;
     if (this.clients.has(address.name)) return;
-    const { name, secret, localAddress, handlers, use, onReady, onLost } = this.options;
+    const { name, secret, localAddress, handlers, use, firstRetryMs, onReady, onLost } =
+      this.options;
     const client = new PeerClient({
       name,
       secret,
@@ -73,6 +76,7 @@
       ...(localAddress === undefined ? {} : { localAddress }),
       ...(handlers === undefined ? {} : { handlers }),
       ...(use === undefined ? {} : { use }),
+      ...(firstRetryMs === undefined ? {} : { firstRetryMs }),
       onReady: () => onReady?.(address.name),
       onLost: (loss) => onLost?.(address.name, loss),
     });
@@ -89,7 +93,9 @@
       }
       const sinceMs = this.unwantedSinceMs.get(name) ?? nowMs;
       this.unwantedSinceMs.set(name, sinceMs);
-      if (nowMs - sinceMs >= (this.options.lingerMs ?? 0)) this.drop(name, client);
+      const hasLingered = nowMs - sinceMs >= (this.options.lingerMs ?? 0);
+      // One that is down would only be opened in vain until then.
+      if (hasLingered || client.isDown) this.drop(name, client);
     }
   }
 
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -7,6 +7,7 @@
 import type { LinkHandlers, LinkLoss } from './link.js';
 import type { LinkUse } from './link-silence.js';
 
+/** Pause before a lost connection is opened again, doubled with each failure. */
 const FIRST_RETRY_MS = 50;
 const MAX_RETRY_MS = 1000;
 const CONNECT_TIMEOUT_MS = 1000;
@@ -25,6 +26,8 @@
   readonly handlers?: Partial<LinkHandlers>;
   /** How soon silence of the peer has to be noticed; `usual` where it is left out. */
   readonly use?: LinkUse;
+  /** Pause before a lost connection is opened again. */
+  readonly firstRetryMs?: number;
   readonly onReady?: () => void;
   /** Called when a connection that was up is not any more, but for {@link PeerClient.close}. */
   readonly onLost?: (loss: LinkLoss) => void;
@@ -36,7 +39,7 @@
   private readonly options: PeerClientOptions;
   private link: Link | undefined;
   private closed = false;
-  private retryMs = FIRST_RETRY_MS;
+  private retryMs: number;
   private retryTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
   private earlierBytes = 0;
@@ -44,6 +47,7 @@
   constructor(options: PeerClientOptions) {
     this.options = options;
     this.peerName = options.peerName;
+    this.retryMs = this.firstRetryMs;
     this.open();
   }
 
@@ -52,6 +56,11 @@
     return this.link?.isReady === true;
   }
 
+  /** Whether the connection is lost and waits to be opened again. */
+  get isDown(): boolean {
+    return this.link === undefined;
+  }
+
   /** Bytes sent to the peer so far. */
   get sentBytes(): number {
     return this.earlierBytes + (this.link?.sentBytes ?? 0);
@@ -84,6 +93,10 @@
     this.wake();
   }
 
+  private get firstRetryMs(): number {
+    return this.options.firstRetryMs ?? FIRST_RETRY_MS;
+  }
+
   private open(): void {
     if (this.closed) return;
     const { localAddress } = this.options;
@@ -118,7 +131,7 @@
   }
 
   private onReady(): void {
-    this.retryMs = FIRST_RETRY_MS;
+    this.retryMs = this.firstRetryMs;
     this.wake();
     this.options.onReady?.();
   }
--- a/packages/transport/src/peer-server.ts
+++ b/packages/transport/src/peer-server.ts
@@ -18,6 +18,8 @@
 export class PeerServer {
   private readonly options: PeerServerOptions;
   private readonly links = new Set<Link>();
+  /** The newest proven connection of each peer. */
+  private readonly newest = new Map<string, Link>();
   private server: WebSocketServer | undefined;
 
   constructor(options: PeerServerOptions) {
@@ -38,8 +40,14 @@
         const link = new Link({
           socket,
           ...this.options,
-          onReady: (ready) => this.links.add(ready),
-          onClosed: (closed) => this.links.delete(closed),
+          onReady: (ready) => {
+            this.links.add(ready);
+            this.newest.set(ready.peerName, ready);
+          },
+          onClosed: (closed) => {
+            this.links.delete(closed);
+            if (this.newest.get(closed.peerName) === closed) this.newest.delete(closed.peerName);
+          },
         });
         link.start();
       });
@@ -51,6 +59,11 @@
     return [...this.links].filter((link) => link.isReady);
   }
 
+  /** The newest connection that a peer has opened, if it is up. */
+  linkOf(peerName: string): Link | undefined {
+    return this.newest.get(peerName);
+  }
+
   /** Closes all connections and stops listening. */
   async close(): Promise<void> {
     for (const link of this.links) link.terminate();
