--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -20,7 +20,9 @@
     entryCount: () => 1,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
+    onSilence: (moment) => this.silences.push(moment),
   });
+  readonly silences: string[] = [];
   private sequence = 0;
 
   /** News of a control process that heard these endpoints just now. */
@@ -101,6 +103,21 @@
     t.true(setup.hasRoom());
   });
 
+  test(title('silence after an answer has begun does not count against its endpoint'), (t) => {
+    const setup = new Setup();
+    setup.hear('a', 'b', 'c');
+    const silent = (kind: 'brokeOff' | 'lost'): void => {
+      setup.pool.began('a');
+      const outcome = { kind, reason: 'silent', isSilence: true } as const;
+      setup.pool.ended('a', { kind: 'ended', outcome }, undefined);
+    };
+    for (let send = 0; send < 5; send += 1) silent('brokeOff');
+    t.true(setup.knows('a'));
+    for (let send = 0; send < 2; send += 1) silent('lost');
+    t.false(setup.knows('a'));
+    t.is(setup.silences.filter((moment) => moment === 'begun').length, 5);
+  });
+
   test(title('leases run out in the end where nothing is heard of anyone'), (t) => {
     const setup = new Setup();
     setup.hear('a');
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -55,6 +55,8 @@
   readonly onLoadChange: (endpointId: string) => void;
   /** Told when an online request goes to an endpoint without a free slot. */
   readonly onSlotWanted: (endpointId: string) => void;
+  /** Told when an endpoint or its connection fell silent, after an answer had begun or before. */
+  readonly onSilence: (moment: 'begun' | 'notBegun') => void;
 }
 
 /** Endpoints with their loads. */
@@ -260,7 +262,9 @@
    */
   private saysNothing(endpointId: string, result: SendResult): boolean {
     if (result.kind !== 'ended' || !('isSilence' in result.outcome)) return false;
-    return result.outcome.kind === 'brokeOff' || this.mayBeWaiting(endpointId);
+    const hasBegun = result.outcome.kind === 'brokeOff';
+    this.options.onSilence(hasBegun ? 'begun' : 'notBegun');
+    return hasBegun || this.mayBeWaiting(endpointId);
   }
 
   private eject(endpointId: string): void {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -395,6 +395,9 @@
       onSlotWanted: (endpointId) => {
         this.wantSlot(endpointId);
       },
+      onSilence: (moment) => {
+        this.metrics.count('shedline_silent_sends_total', { moment });
+      },
     });
   }
 
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -161,6 +161,7 @@
     entryCount: () => 1,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
+    onSilence: () => undefined,
   });
   const heartbeat = {
     endpointId: 'e1',
