--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -2,16 +2,14 @@
  * The caller-facing process of a fleet that finds its members itself: it forwards requests as
  * they are, takes batch jobs and runs their items.
  */
-import { CallerPatience } from '@shedline/admission';
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
 import type { Placed } from '@shedline/directory';
-import { chooseService } from '@shedline/fleet';
 import type { AgedHeartbeat, CallerLimits, FleetDelta, Route } from '@shedline/fleet';
 import { ProcessCore, portsOf } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
 import { EndpointSender, Forwarder } from '@shedline/forwarding';
-import type { AnswerSink, CallerRequest, EndpointProtocol } from '@shedline/forwarding';
+import type { AnswerSink, EndpointProtocol } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
@@ -25,6 +23,8 @@
 import { LoadExchange } from './load-exchange.js';
 import { PlannedStop } from './planned-stop.js';
 import { ReachKeeper } from './reach-keeper.js';
+import { RequestIntake } from './request-intake.js';
+import type { IncomingRequest } from './request-intake.js';
 import { StartGate } from './start-gate.js';
 import type { Leaver } from './start-gate.js';
 
@@ -47,21 +47,6 @@
 const MAX_ADDRESSES = 64;
 /** Entries in the caller's zone from which the answer leaves the other zones out. */
 const ENOUGH_IN_ZONE = 2;
-/** When a caller should come back that was not served while the entry started, elsewhere. */
-const NOT_READY_RETRY_MS = 300;
-/** When a caller that is refused at the end of a planned stop should come back, elsewhere. */
-const STOPPING_RETRY_MS = 100;
-
-/** A request of a caller, decoded. */
-export interface IncomingRequest {
-  readonly caller: CallerRequest;
-  readonly host: string;
-  /** Time that the caller waits, from when it asked; undefined where it does not say. */
-  readonly timeLeftMs: number | undefined;
-  /** Time since it asked, as {@link GatewayProcess.untilStarted} told. */
-  readonly heldMs: number;
-}
-
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly settings: FleetSettings;
@@ -84,6 +69,7 @@
   private readonly pool: EndpointPool;
   private readonly sender: EndpointSender;
   private readonly forwarder: Forwarder;
+  private readonly intake: RequestIntake;
   private readonly entries: EntryLinks;
   private readonly stores: PeerBook;
   private readonly exchange: LoadExchange;
@@ -91,12 +77,9 @@
   private readonly runner: ItemRunner;
   private timer: NodeJS.Timeout | undefined;
   private readonly stop: PlannedStop;
-  private openRequests = 0;
   private seenEntries: readonly MemberRecord[] | undefined;
   private seenStores: readonly MemberRecord[] | undefined;
   private readonly startGate: StartGate;
-  /** By route name. */
-  private readonly patience = new Map<string, CallerPatience>();
 
   constructor(options: GatewayProcessOptions) {
     const { settings, protocol, logger } = options;
@@ -109,7 +92,7 @@
       nowMs: this.nowMs,
       stopWithinMs: settings.stopWithinS * 1000,
       addressKeepMs: settings.addressKeepS * 1000,
-      openRequests: () => this.openRequests,
+      openRequests: () => this.intake.openRequests,
     });
     this.startGate = new StartGate({
       nowMs: this.nowMs,
@@ -141,8 +124,17 @@
       logger,
       nowMs: this.nowMs,
     });
-    const storeCaller = new LeaderCaller({ ports: () => portsOf(this.stores) });
     const { fleet } = this.follower;
+    this.intake = new RequestIntake({
+      fleet,
+      forwarder: this.forwarder,
+      stop: this.stop,
+      metrics: this.metrics,
+      logger,
+      random: this.random,
+      nowMs: this.nowMs,
+    });
+    const storeCaller = new LeaderCaller({ ports: () => portsOf(this.stores) });
     this.jobs = new JobDesk({ stores: storeCaller, fleet, logger });
     this.runner = new ItemRunner({
       holder: `${name}/${this.core.epoch}`,
@@ -222,38 +214,8 @@
   }
 
   /** Forwards a request; its answer goes into the sink. */
-  async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
-    const { caller, host, timeLeftMs, heldMs } = incoming;
-    if (this.stop.isClosing) {
-      this.refuseStopping(caller.requestId, sink);
-      return;
-    }
-    const { routes } = this.follower.fleet;
-    const route = routes?.find(host, caller.path);
-    if (routes === undefined || route === undefined) {
-      this.refuseUnrouted(incoming, sink);
-      return;
-    }
-    const beganMs = this.nowMs() - heldMs;
-    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
-    this.openRequests += 1;
-    try {
-      const end = await this.forwarder.run({
-        request: caller,
-        route,
-        service: chooseService(route, this.random()),
-        version: routes.version,
-        deadlineMs: beganMs + limitMs,
-        firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
-        sink,
-      });
-      const { name } = route;
-      this.metrics.count('shedline_requests_total', { route: name, outcome: end });
-      const tookMs = this.nowMs() - beganMs;
-      this.metrics.took('shedline_request_milliseconds', { route: name }, tookMs);
-    } finally {
-      this.openRequests -= 1;
-    }
+  forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
+    return this.intake.forward(incoming, sink);
   }
 
   /** Takes settings that changed. */
@@ -267,9 +229,9 @@
    */
   async drain(): Promise<void> {
     this.core.mesh.setState('draining');
-    this.logger.info('draining', { step: 'stop', openRequests: this.openRequests });
+    this.logger.info('draining', { step: 'stop', openRequests: this.intake.openRequests });
     await this.stop.run(this.runner.drain());
-    this.logger.info('drained', { step: 'stop', cutRequests: this.openRequests });
+    this.logger.info('drained', { step: 'stop', cutRequests: this.intake.openRequests });
   }
 
   /** Ends all connections to the fleet and the endpoints. */
@@ -283,36 +245,6 @@
     await this.core.stop();
   }
 
-  /** Time since the first attempt of a caller, as far as it shows. */
-  private ageMs(route: Route, timeLeftMs: number | undefined): number {
-    if (timeLeftMs === undefined) return 0;
-    const known = this.patience.get(route.name);
-    const patience = known ?? new CallerPatience();
-    if (known === undefined) this.patience.set(route.name, patience);
-    patience.note(timeLeftMs);
-    return patience.ageMs(timeLeftMs);
-  }
-
-  private refuseStopping(request: string, sink: AnswerSink): void {
-    this.logger.info('request refused', { step: 'stop', request, outcome: 503 });
-    sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
-  }
-
-  private refuseUnrouted({ caller, host }: IncomingRequest, sink: AnswerSink): void {
-    const version = this.follower.fleet.position.version;
-    const status = this.knowsRoutes ? 404 : 503;
-    this.logger.info('request refused', {
-      step: 'route',
-      request: caller.requestId,
-      host,
-      path: caller.path,
-      version,
-      outcome: status,
-    });
-    if (status === 404) sink.refuse(404, {});
-    else sink.refuse(503, { retryAfterMs: NOT_READY_RETRY_MS });
-  }
-
   private createCore(): ProcessCore {
     const { caller } = this.settings.listeners;
     return new ProcessCore({
@@ -404,7 +336,7 @@
   }
 
   private addGauges(): void {
-    this.metrics.gauge('shedline_open_requests', () => this.openRequests);
+    this.metrics.gauge('shedline_open_requests', () => this.intake.openRequests);
     this.metrics.gauge('shedline_waiting_requests', () => this.forwarder.waitingCount);
     this.metrics.gauge('shedline_held_at_start', () => this.startGate.waitingCount);
     this.metrics.gauge('shedline_running_items', () => this.runner.runningCount);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,5 +2,6 @@
  * The entry of a fleet that finds its members itself.
  */
 export * from './gateway-process.js';
+export * from './request-intake.js';
 export * from './job-desk.js';
 export * from './endpoint-pool.js';
--- /dev/null
+++ b/packages/gateway/src/request-intake.ts
@@ -0,0 +1,119 @@
+/**
+ * Takes the requests of callers: finds their route, works out how long they may take, and refuses what
+ * has no route or comes too late before a planned stop.
+ */
+import { CallerPatience } from '@shedline/admission';
+import { chooseService } from '@shedline/fleet';
+import type { KnownFleet, Route } from '@shedline/fleet';
+import type { AnswerSink, CallerRequest, Forwarder } from '@shedline/forwarding';
+import type { Logger } from '@shedline/logger';
+import type { ProcessMetrics } from '@shedline/metrics';
+import type { PlannedStop } from './planned-stop.js';
+
+/** When a caller should come back that was not served while the entry started, elsewhere. */
+const NOT_READY_RETRY_MS = 300;
+/** When a caller that is refused at the end of a planned stop should come back, elsewhere. */
+const STOPPING_RETRY_MS = 100;
+
+/** A request of a caller, decoded. */
+export interface IncomingRequest {
+  readonly caller: CallerRequest;
+  readonly host: string;
+  /** Time that the caller waits, from when it asked; undefined where it does not say. */
+  readonly timeLeftMs: number | undefined;
+  /** Time since it asked, as {@link GatewayProcess.untilStarted} told. */
+  readonly heldMs: number;
+}
+
+/** Options of {@link RequestIntake}. */
+export interface RequestIntakeOptions {
+  readonly fleet: KnownFleet;
+  readonly forwarder: Forwarder;
+  readonly stop: Pick<PlannedStop, 'isClosing'>;
+  readonly metrics: ProcessMetrics;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly nowMs: () => number;
+}
+
+/** The requests that are open at one entry. */
+export class RequestIntake {
+  private readonly options: RequestIntakeOptions;
+  private openCount = 0;
+  /** By route name. */
+  private readonly patience = new Map<string, CallerPatience>();
+
+  constructor(options: RequestIntakeOptions) {
+    this.options = options;
+  }
+
+  /** Requests that are not answered yet. */
+  get openRequests(): number {
+    return this.openCount;
+  }
+
+  /** Forwards a request; its answer goes into the sink. */
+  async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
+    const { caller, host, timeLeftMs, heldMs } = incoming;
+    if (this.options.stop.isClosing) {
+      this.refuseStopping(caller.requestId, sink);
+      return;
+    }
+    const { routes } = this.options.fleet;
+    const route = routes?.find(host, caller.path);
+    if (routes === undefined || route === undefined) {
+      this.refuseUnrouted(incoming, sink);
+      return;
+    }
+    const beganMs = this.options.nowMs() - heldMs;
+    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
+    this.openCount += 1;
+    try {
+      const end = await this.options.forwarder.run({
+        request: caller,
+        route,
+        service: chooseService(route, this.options.random()),
+        version: routes.version,
+        deadlineMs: beganMs + limitMs,
+        firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
+        sink,
+      });
+      const { name } = route;
+      this.options.metrics.count('shedline_requests_total', { route: name, outcome: end });
+      const tookMs = this.options.nowMs() - beganMs;
+      this.options.metrics.took('shedline_request_milliseconds', { route: name }, tookMs);
+    } finally {
+      this.openCount -= 1;
+    }
+  }
+
+  /** Time since the first attempt of a caller, as far as it shows. */
+  private ageMs(route: Route, timeLeftMs: number | undefined): number {
+    if (timeLeftMs === undefined) return 0;
+    const known = this.patience.get(route.name);
+    const patience = known ?? new CallerPatience();
+    if (known === undefined) this.patience.set(route.name, patience);
+    patience.note(timeLeftMs);
+    return patience.ageMs(timeLeftMs);
+  }
+
+  private refuseStopping(request: string, sink: AnswerSink): void {
+    this.options.logger.info('request refused', { step: 'stop', request, outcome: 503 });
+    sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
+  }
+
+  private refuseUnrouted({ caller, host }: IncomingRequest, sink: AnswerSink): void {
+    const version = this.options.fleet.position.version;
+    const status = this.options.fleet.routes !== undefined ? 404 : 503;
+    this.options.logger.info('request refused', {
+      step: 'route',
+      request: caller.requestId,
+      host,
+      path: caller.path,
+      version,
+      outcome: status,
+    });
+    if (status === 404) sink.refuse(404, {});
+    else sink.refuse(503, { retryAfterMs: NOT_READY_RETRY_MS });
+  }
+}
