--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -8,14 +8,15 @@
 import { match } from 'ts-pattern';
 import { isCalm, planFaults } from './fault-plan.js';
 import type { Fault, FaultKind, Role } from './fault-plan.js';
-import type { FleetWire, SoakEndpoint } from './fleet-wire.js';
+import { EndpointSet } from './endpoint-set.js';
+import type { FleetWire } from './fleet-wire.js';
 import { Ledger } from './ledger.js';
 import type { Break } from './ledger.js';
 import { ProcessSet } from './process-set.js';
 import type { Place } from './process-set.js';
 import { Relay, UNHARMED } from './relay.js';
 import type { Harm } from './relay.js';
-import { HEARTBEAT_MS, Heartbeats, SoakLoad } from './soak-load.js';
+import { Heartbeats, SoakLoad } from './soak-load.js';
 
 const DELAY_MS = 120;
 /** Time that a fleet may take from power to its first configuration. */
@@ -25,13 +26,6 @@
 const SETTLE_POLL_MS = 300;
 /** Load before the first fault. */
 const WARM_UP_MS = 1500;
-/** Time that a leaving endpoint still serves. */
-const LEAVE_SERVES_MS = 3500;
-const ENDPOINT_PORT = 8080;
-/** Endpoints live above the processes and their relays. */
-const FIRST_ENDPOINT_HOST = 200;
-/** Endpoints with a relay before them listen this far above it. */
-const ENDPOINT_PROCESS_OFFSET = 25;
 /** Load that goes on while all connections are silent; a third of what the endpoints can run. */
 const PACED_PER_S = 25;
 /** Time before and after a silence over which service is compared. */
@@ -96,8 +90,8 @@
   /** Harm by process host, on the way in and on the way out. */
   private readonly harmIn = new Map<string, Harm>();
   private readonly harmOut = new Map<string, Harm>();
-  private readonly endpoints = new Map<string, SoakEndpoint>();
   private readonly heartbeats: Heartbeats;
+  private readonly endpoints: EndpointSet;
   private readonly ledger: Ledger;
   private readonly load: SoakLoad;
   private readonly faults: readonly Fault[];
@@ -106,7 +100,6 @@
   private readonly startedAtMs = performance.now();
   /** Moment that the plan counts from, on the clock of this run. */
   private planZeroMs = Infinity;
-  private endpointRuns = 0;
 
   constructor(options: SoakOptions) {
     this.options = options;
@@ -133,6 +126,14 @@
         return isCalm(this.faults, span, concerns);
       },
     });
+    this.endpoints = new EndpointSet({
+      network: networkOf(seed),
+      wire: this.wire,
+      ledger: this.ledger,
+      heartbeats: this.heartbeats,
+      nowMs: () => this.nowMs(),
+      hasRelays: (options.silences ?? 0) > 0,
+    });
     this.load = new SoakLoad({
       seed,
       wire: this.wire,
@@ -171,7 +172,7 @@
     this.heartbeats.stop();
     await this.processes.close();
     await Promise.all([...this.relays.values()].map((relay) => relay.close()));
-    await Promise.all([...this.endpoints.values()].map((endpoint) => endpoint.crash()));
+    await this.endpoints.close();
   }
 
   private nowMs(): number {
@@ -202,7 +203,7 @@
     await mkdir(this.options.folder, { recursive: true });
     for (const place of this.places) await this.startRelay(place);
     for (const { name } of this.places) await this.processes.start(name, { isFounding: true });
-    for (const name of endpoints) await this.startEndpoint(name);
+    for (const name of endpoints) await this.endpoints.start(name);
     this.heartbeats.start();
     const formed = await Promise.race([
       this.load.configure().then(() => true),
@@ -240,36 +241,6 @@
       }));
   }
 
-  /** Where an endpoint listens: behind a relay, where connections are to go silent. */
-  private async endpointHost(name: string): Promise<string> {
-    const number = Number(name.split('-')[1]);
-    const network = networkOf(this.options.seed);
-    const host = `${network}.${FIRST_ENDPOINT_HOST + number}`;
-    if ((this.options.silences ?? 0) === 0) return host;
-    const processHost = `${network}.${FIRST_ENDPOINT_HOST + ENDPOINT_PROCESS_OFFSET + number}`;
-    const relay = new Relay({ host, processHost, port: ENDPOINT_PORT }, () => UNHARMED);
-    await relay.listen();
-    this.relays.set(name, relay);
-    return processHost;
-  }
-
-  private async startEndpoint(name: string): Promise<void> {
-    this.endpointRuns += 1;
-    const number = Number(name.split('-')[1]);
-    const endpointId = `${name}-run-${this.endpointRuns}`;
-    const endpoint = await this.wire.startEndpoint({
-      endpointId,
-      announcedHost: `${networkOf(this.options.seed)}.${FIRST_ENDPOINT_HOST + number}`,
-      host: await this.endpointHost(name),
-      port: ENDPOINT_PORT,
-      onRun: (requestId) => {
-        this.ledger.ran(requestId, endpointId, this.nowMs());
-      },
-    });
-    this.endpoints.set(name, endpoint);
-    this.heartbeats.add(endpoint);
-  }
-
   /** Does one fault, and undoes it. */
   private async strike(fault: Fault): Promise<void> {
     await pause(Math.max(0, this.planZeroMs + fault.atMs - this.nowMs()));
@@ -291,11 +262,12 @@
       .with('reset', () => this.relays.get(target)?.reset())
       .with('silenceOpen', () => {
         for (const relay of this.relays.values()) relay.silenceOpen();
+        this.endpoints.silenceOpen();
       })
       .with('killAll', () => this.killAll(forMs))
-      .with('endpointCrash', () => this.crashEndpoint(target, forMs))
-      .with('endpointHang', () => this.hangEndpoint(target, forMs))
-      .with('endpointLeave', () => this.leaveEndpoint(target))
+      .with('endpointCrash', () => this.endpoints.crash(target, forMs))
+      .with('endpointHang', () => this.endpoints.hang(target, forMs))
+      .with('endpointLeave', () => this.endpoints.leave(target))
       .exhaustive();
   }
 
@@ -350,44 +322,6 @@
     }
   }
 
-  private async crashEndpoint(name: string, forMs: number): Promise<void> {
-    const endpoint = this.endpoints.get(name);
-    if (endpoint === undefined) return;
-    this.heartbeats.remove(endpoint.endpointId);
-    await this.endEndpoint(name, endpoint);
-    await pause(forMs);
-    await this.startEndpoint(name);
-  }
-
-  private async endEndpoint(name: string, endpoint: SoakEndpoint): Promise<void> {
-    await endpoint.crash();
-    await this.relays.get(name)?.close();
-    this.relays.delete(name);
-  }
-
-  private async hangEndpoint(name: string, forMs: number): Promise<void> {
-    const endpoint = this.endpoints.get(name);
-    endpoint?.setHanging(true);
-    await pause(forMs);
-    endpoint?.setHanging(false);
-  }
-
-  private async leaveEndpoint(name: string): Promise<void> {
-    const endpoint = this.endpoints.get(name);
-    if (endpoint === undefined) return;
-    this.heartbeats.remove(endpoint.endpointId);
-    const isAcknowledged = await this.heartbeats.beat(endpoint, true);
-    if (isAcknowledged) this.ledger.left(endpoint.endpointId, this.nowMs());
-    // It goes on to say so while it serves what is still under way.
-    const untilMs = this.nowMs() + LEAVE_SERVES_MS;
-    while (this.nowMs() < untilMs) {
-      await this.heartbeats.beat(endpoint, true);
-      await pause(HEARTBEAT_MS);
-    }
-    await this.endEndpoint(name, endpoint);
-    await this.startEndpoint(name);
-  }
-
   /** Waits until everything that was accepted is done and every entry serves. */
   private async settle(): Promise<void> {
     const untilMs = this.nowMs() + SETTLE_WITHIN_MS;
@@ -424,11 +358,6 @@
   }
 }
 
-/** A loopback network of its own for each seed. */
-function networkOf(seed: number): string {
-  return `127.${1 + (seed % 250)}.${1 + (Math.floor(seed / 250) % 250)}`;
-}
-
 function placesOf(seed: number, counts: Readonly<Record<Role, number>>): Place[] {
   const network = networkOf(seed);
   const roles: Role[] = ['control', 'store', 'entry'];
@@ -442,3 +371,8 @@
     processHost: `${network}.${index + 1 + PROCESS_HOST_OFFSET}`,
   }));
 }
+
+/** A loopback network of its own for each seed. */
+function networkOf(seed: number): string {
+  return `127.${1 + (seed % 250)}.${1 + (Math.floor(seed / 250) % 250)}`;
+}
