--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -36,7 +36,7 @@
 const PEER_LINGER_MS = 10_000;
 /**
  * Pause before a lost connection to another entry is opened again: whoever restarts is up after 400
- * ms and more, and each try in vain costs more than a millisecond of processor time.
+ * ms and more, and tries in vain took 5 of 29 ms a second while all peers ended (one profile).
  */
 const PEER_RETRY_MS = 400;
 /** Longest wait for one control process at the first read before another is asked. */
--- a/packages/transport/src/link-silence.ts
+++ b/packages/transport/src/link-silence.ts
@@ -16,8 +16,8 @@
 
 /**
  * How much depends on a connection. `news`: what this process knows comes over it, and the peer says
- * something each 800 ms or more often. `usual`: it may rest; each ping of the many such connections
- * costs both ends 0.1 ms, so they are few.
+ * something each 800 ms or more often. `usual`: it may rest; pings of
+ * such connections took 3 of 16 ms of script a second of an entry without load, among 40 (one profile).
  */
 export type LinkUse = 'news' | 'usual';
 
