An endpoint that starts again under its id is a new endpoint

Cause: an id stood for one run of an endpoint. A control process refused the first heartbeats of the next run as old until 30 s after the last one, a leave record by id kept it out for good, and what was under way at the run before went on counting and waiting.

A later run ends the one before: its counts, its ejection and its sends from which nothing was heard since. An id whose start is not told, an old file and an old leave record stay what they were. A leave without a start is that of the run known, here or at a neighbour.

--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -204,6 +204,11 @@
     if (entry !== undefined) entry.probing = false;
   }
 
+  /** Forgets an endpoint that is known to be gone. */
+  forget(endpointId: string): void {
+    this.entries.delete(endpointId);
+  }
+
   /** Forgets endpoints that have long been silent. */
   forgetSilent(nowMs: number): void {
     for (const [endpointId, entry] of this.entries) {
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -8,11 +8,12 @@
 import type { ClusterDocument, GroupHost, HelloAnswer } from '@shedline/control';
 import { LeaderCaller } from '@shedline/control-client';
 import type { CallPort } from '@shedline/control-client';
-import { EndpointRegister, configurationProblem } from '@shedline/fleet';
+import { EndpointRegister, UNTOLD_START_MS, configurationProblem, runIdOf } from '@shedline/fleet';
 import type {
   AgedHeartbeat,
   Configuration,
   EndpointHeartbeat,
+  EndpointRun,
   FleetAnswer,
   FleetCommand,
   FleetDelta,
@@ -161,7 +162,8 @@
 
   /** Takes a heartbeat of an endpoint and passes it on. */
   takeHeartbeat(heartbeat: EndpointHeartbeat): void {
-    const isNew = !this.register.has(heartbeat.endpointId);
+    const known = this.register.runOf(heartbeat.endpointId);
+    const isNew = known?.startedAtMs !== heartbeat.startedAtMs;
     if (!this.register.hear(heartbeat, 0, this.nowMs())) return;
     // Others ask for what is known at short intervals; only news is worth a message to each.
     if (isNew) this.core.broadcast('heartbeats', [{ heartbeat, ageMs: 0 }]);
@@ -170,17 +172,39 @@
     }
   }
 
-  /** Records that an endpoint leaves; resolves once a quorum holds the record. */
-  async takeLeave(endpointId: string): Promise<void> {
-    if (this.machine.state.isLeaving(endpointId)) return;
-    const answer = await this.propose({ type: 'recordLeave', endpointId });
+  /** Records that a run of an endpoint leaves; resolves once a quorum holds the record. */
+  async takeLeave({ endpointId, startedAtMs }: EndpointRun): Promise<void> {
+    if (this.machine.state.isLeaving({ endpointId, startedAtMs })) return;
+    const answer = await this.propose({ type: 'recordLeave', endpointId, startedAtMs });
     this.logger.info('endpoint leaves', {
       step: 'leave',
-      endpoint: endpointId,
+      endpoint: runIdOf({ endpointId, startedAtMs }),
       outcome: answer.outcome,
     });
   }
 
+  /**
+   * The latest run of an endpoint that was heard of here, or else at another control process: one
+   * that has just started may be told of a leave before it hears a heartbeat.
+   */
+  async runOf(endpointId: string): Promise<EndpointRun> {
+    const known = this.register.runOf(endpointId);
+    if (known !== undefined) return known;
+    const asked = this.core.mesh.controls.ready.map(async (control) => {
+      try {
+        const answer = await control.request('endpointRun', endpointId, MAX_ATTEMPT_MS);
+        return answer as EndpointRun | null;
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.logger.debug('run not known', { step: 'leave', peer: control.peerName, reason });
+        return null;
+      }
+    });
+    const runs = (await Promise.all(asked)).flatMap((run) => run ?? []);
+    const untold = { endpointId, startedAtMs: UNTOLD_START_MS };
+    return runs.reduce((last, run) => (run.startedAtMs > last.startedAtMs ? run : last), untold);
+  }
+
   private propose(command: FleetCommand): Promise<FleetAnswer> {
     return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
   }
@@ -310,6 +334,8 @@
     switch (method) {
       case 'fleetRefresh':
         return this.refresh(payload as RefreshRequest);
+      case 'endpointRun':
+        return this.register.runOf(payload as string) ?? null;
       case 'fleetPropose':
         return this.leader(method).propose(payload);
       case 'fleetDelta':
--- a/packages/fleet-control/src/endpoint-memory.test.ts
+++ b/packages/fleet-control/src/endpoint-memory.test.ts
@@ -13,6 +13,7 @@
 function heartbeat(endpointId: string, sequence = 1): EndpointHeartbeat {
   return {
     endpointId,
+    startedAtMs: 0,
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: 'z',
@@ -84,6 +85,31 @@
     t.is(wrong.register.since('', 0, 0).heartbeats.length, 0);
   });
 
+  test(title('takes a file without starts, and none with a start that is no number'), async (t) => {
+    const dataDir = await folder(t);
+    const { startedAtMs, ...old } = heartbeat('old');
+    t.is(startedAtMs, 0);
+    const heard = [old, { ...heartbeat('wrong'), startedAtMs: 'soon' }, heartbeat('new')];
+    await writeFile(join(dataDir, 'endpoints.json'), JSON.stringify(heard));
+    const { register, memory } = runIn(dataDir, 0);
+    await memory.restore();
+    t.deepEqual(
+      register.since('', 0, 0).heartbeats.map((one) => one.heartbeat),
+      [heartbeat('old'), heartbeat('new')],
+    );
+  });
+
+  test(title('writes a new run of an endpoint that it has'), async (t) => {
+    const dataDir = await folder(t);
+    const { register, memory } = runIn(dataDir, 0);
+    register.hear(heartbeat('a', 9), 0, 0);
+    await memory.save();
+    register.hear({ ...heartbeat('a', 1), startedAtMs: 5000 }, 0, 0);
+    await memory.save();
+    const text = await readFile(join(dataDir, 'endpoints.json'), 'utf8');
+    t.is((JSON.parse(text) as EndpointHeartbeat[])[0]?.startedAtMs, 5000);
+  });
+
   test(title('writes only when endpoints came or went'), async (t) => {
     const dataDir = await folder(t);
     const { register, memory } = runIn(dataDir, 0);
--- a/packages/fleet-control/src/endpoint-memory.ts
+++ b/packages/fleet-control/src/endpoint-memory.ts
@@ -4,6 +4,7 @@
  * read back counts as one heartbeat old, so an endpoint that is gone is soon forgotten; a
  * request that reaches another run at its address is refused by that.
  */
+import { UNTOLD_START_MS, runIdOf } from '@shedline/fleet';
 import type { EndpointHeartbeat, EndpointRegister } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import { NodeFileSystem } from '@shedline/storage';
@@ -12,6 +13,9 @@
 /** Half of the time between heartbeats of an endpoint on the users' platform. */
 const SAVE_INTERVAL_MS = 600;
 
+/** A heartbeat as it stands in the file. */
+type SavedHeartbeat = Omit<EndpointHeartbeat, 'startedAtMs'> & { readonly startedAtMs?: number };
+
 /** Options of {@link EndpointMemory}. */
 export interface EndpointMemoryOptions {
   readonly dataDir: string;
@@ -59,7 +63,7 @@
   async save(): Promise<void> {
     const { register, logger, nowMs } = this.options;
     const { heartbeats } = register.since('', 0, nowMs());
-    const names = heartbeats.map(({ heartbeat }) => heartbeat.endpointId).join();
+    const names = heartbeats.map(({ heartbeat }) => runIdOf(heartbeat)).join();
     if (names === this.savedNames || this.isSaving) return;
     this.isSaving = true;
     try {
@@ -78,7 +82,7 @@
     try {
       const parsed: unknown = JSON.parse((await this.files.read(FILE)).toString());
       if (!Array.isArray(parsed)) throw new Error('not a list');
-      return parsed.filter(isHeartbeat);
+      return parsed.filter(isHeartbeat).map(withStart);
     } catch (error) {
       // Torn by a loss of power, or never written: endpoints will send heartbeats.
       const reason = error instanceof Error ? error.message : String(error);
@@ -92,12 +96,17 @@
   }
 }
 
-function isHeartbeat(value: unknown): value is EndpointHeartbeat {
+/** Earlier programs wrote no start. */
+function withStart(heard: SavedHeartbeat): EndpointHeartbeat {
+  return { ...heard, startedAtMs: heard.startedAtMs ?? UNTOLD_START_MS };
+}
+
+function isHeartbeat(value: unknown): value is SavedHeartbeat {
   if (typeof value !== 'object' || value === null) return false;
-  const { endpointId, service, address, availabilityZone, slots, sequence } =
+  const { endpointId, startedAtMs, service, address, availabilityZone, slots, sequence } =
     value as Partial<EndpointHeartbeat>;
   return (
     [endpointId, service, address, availabilityZone].every((text) => typeof text === 'string') &&
-    [slots, sequence].every((number) => typeof number === 'number')
+    [slots, sequence, startedAtMs ?? UNTOLD_START_MS].every((number) => Number.isInteger(number))
   );
 }
--- a/packages/fleet/src/endpoint-register.ts
+++ b/packages/fleet/src/endpoint-register.ts
@@ -2,11 +2,10 @@
  * The heartbeats of endpoints as a control process heard them, numbered so that a reader asks
  * only for what changed since its last look.
  */
+import type { EndpointRun } from './endpoint-run.js';
 
 /** One heartbeat of an endpoint. */
-export interface EndpointHeartbeat {
-  /** New at each start of the endpoint. */
-  readonly endpointId: string;
+export interface EndpointHeartbeat extends EndpointRun {
   readonly service: string;
   /** `host:port`. */
   readonly address: string;
@@ -15,7 +14,7 @@
   readonly slots: number;
   /** How much longer the endpoint stays slow after its start. */
   readonly warmUpLeftMs: number;
-  /** Grows with each heartbeat, so that a late one can be told. */
+  /** Grows with each heartbeat of a run, so that a late one can be told. */
   readonly sequence: number;
 }
 
@@ -42,7 +41,7 @@
   readonly number: number;
 }
 
-/** Latest heartbeat of each endpoint. */
+/** Latest heartbeat of the latest run of each endpoint. */
 export class EndpointRegister {
   private readonly epoch: string;
   private readonly heard = new Map<string, Heard>();
@@ -52,15 +51,15 @@
     this.epoch = epoch;
   }
 
-  /** Whether an endpoint was heard of lately. */
-  has(endpointId: string): boolean {
-    return this.heard.has(endpointId);
+  /** The latest run of an endpoint; undefined where none was heard of lately. */
+  runOf(endpointId: string): EndpointRun | undefined {
+    return this.heard.get(endpointId)?.heartbeat;
   }
 
-  /** Takes a heartbeat made `ageMs` ago; false where a newer one is known. */
+  /** Takes a heartbeat made `ageMs` ago; false where a newer one, or a later run, is known. */
   hear(heartbeat: EndpointHeartbeat, ageMs: number, nowMs: number): boolean {
     const known = this.heard.get(heartbeat.endpointId);
-    if (known !== undefined && known.heartbeat.sequence >= heartbeat.sequence) return false;
+    if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return false;
     this.counter += 1;
     const heardAtMs = nowMs - ageMs;
     this.heard.set(heartbeat.endpointId, { heartbeat, heardAtMs, number: this.counter });
@@ -84,3 +83,9 @@
     }
   }
 }
+
+/** Sequences count anew in each run. */
+function isNewer(heartbeat: EndpointHeartbeat, known: EndpointHeartbeat): boolean {
+  if (heartbeat.startedAtMs !== known.startedAtMs) return heartbeat.startedAtMs > known.startedAtMs;
+  return heartbeat.sequence > known.sequence;
+}
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -5,6 +5,8 @@
  */
 import { match } from 'ts-pattern';
 import type { Configuration } from './configuration.js';
+import { UNTOLD_START_MS, runIdOf } from './endpoint-run.js';
+import type { EndpointRun } from './endpoint-run.js';
 
 /** Leave records kept; an endpoint is gone long before its record is dropped. */
 const MAX_LEAVE_RECORDS = 4000;
@@ -17,10 +19,12 @@
   readonly document: string;
 }
 
-/** Records for good that an endpoint leaves. */
+/** Records for good that a run of an endpoint leaves. */
 export interface RecordLeave {
   readonly type: 'recordLeave';
   readonly endpointId: string;
+  /** Start of the run; left out by programs that took each id for one run. */
+  readonly startedAtMs?: number;
 }
 
 /** Forms the cluster of the stores; the first one counts. */
@@ -68,7 +72,7 @@
 export interface FleetDelta {
   readonly position: FleetPosition;
   readonly configuration?: Configuration;
-  /** Endpoints that leave, those that the reader lacks. */
+  /** Ids of the runs that leave, those that the reader lacks. */
   readonly leaving: readonly string[];
   readonly stores?: StoreCluster;
   /** Stores that are to be emptied; the whole list. */
@@ -118,16 +122,16 @@
     return this.document;
   }
 
-  /** Whether an endpoint has said that it leaves. */
-  isLeaving(endpointId: string): boolean {
-    return this.leavingIds.has(endpointId);
+  /** Whether a run of an endpoint has said that it leaves. */
+  isLeaving(run: EndpointRun): boolean {
+    return this.leavingIds.has(runIdOf(run));
   }
 
   /** Applies a command. */
   apply(command: FleetCommand): FleetAnswer {
     const changed = match(command)
       .with({ type: 'putConfiguration' }, (c) => this.putConfiguration(c))
-      .with({ type: 'recordLeave' }, (c) => this.recordLeave(c.endpointId))
+      .with({ type: 'recordLeave' }, (c) => this.recordLeave(c))
       .with({ type: 'formStores' }, (c) => this.formStores(c.cluster))
       .with({ type: 'retireStore' }, (c) => this.retireStore(c.store))
       .exhaustive();
@@ -183,10 +187,11 @@
     return true;
   }
 
-  private recordLeave(endpointId: string): boolean {
-    if (this.leavingIds.has(endpointId)) return false;
-    this.leaving.push(endpointId);
-    this.leavingIds.add(endpointId);
+  private recordLeave({ endpointId, startedAtMs = UNTOLD_START_MS }: RecordLeave): boolean {
+    const runId = runIdOf({ endpointId, startedAtMs });
+    if (this.leavingIds.has(runId)) return false;
+    this.leaving.push(runId);
+    this.leavingIds.add(runId);
     while (this.leaving.length > MAX_LEAVE_RECORDS) {
       const dropped = this.leaving.shift();
       if (dropped !== undefined) this.leavingIds.delete(dropped);
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -4,6 +4,7 @@
 import { configurationProblem } from './configuration.js';
 import type { Configuration, Route } from './configuration.js';
 import { EndpointRegister } from './endpoint-register.js';
+import { endpointIdOf, runIdOf } from './endpoint-run.js';
 import { FleetState } from './fleet-state.js';
 import type { FleetCommand } from './fleet-state.js';
 import { KnownFleet } from './known-fleet.js';
@@ -143,7 +144,9 @@
         const ids = Array.from({ length: 10 }, (_, id) => `e${id}`);
         return (
           known.position.version === state.position.version &&
-          ids.every((id) => known.isLeaving(id) === state.isLeaving(id))
+          ids.every(
+            (id) => known.isLeaving(id) === state.isLeaving({ endpointId: id, startedAtMs: 0 }),
+          )
         );
       }),
       { seed: 5 },
@@ -164,14 +167,49 @@
     t.deepEqual(copy.position, { version: 3, leaveCount: 1 });
     t.is(copy.configurationDocument, 'document 3');
     t.is(copy.storeCluster?.clusterId, 'c');
-    t.true(copy.isLeaving('e'));
+    t.true(copy.isLeaving({ endpointId: 'e', startedAtMs: 0 }));
     t.true(copy.isRetiring('store'));
   });
 });
 
+describe('runs of an endpoint', () => {
+  test(title('have ids that differ where the runs do, and give the id of the endpoint'), (t) => {
+    const run = fc.record({
+      endpointId: fc.string({ unit: fc.constantFrom('a', '#', '0', '1'), maxLength: 4 }),
+      startedAtMs: fc.nat(3),
+    });
+    fc.assert(
+      fc.property(run, run, (a, b) => {
+        const isSame = a.endpointId === b.endpointId && a.startedAtMs === b.startedAtMs;
+        return endpointIdOf(runIdOf(a)) === a.endpointId && isSame === (runIdOf(a) === runIdOf(b));
+      }),
+      { seed: 6, numRuns: 2000 },
+    );
+    t.pass();
+  });
+
+  test(title('a run that leaves does not keep the next one out'), (t) => {
+    const state = new FleetState();
+    state.apply({ type: 'recordLeave', endpointId: 'e', startedAtMs: 1000 });
+    // Written before starts were told.
+    state.apply({ type: 'recordLeave', endpointId: 'e' });
+    const copy = new FleetState();
+    copy.restore(state.toData());
+    const known = new KnownFleet();
+    known.take(copy.deltaSince(known.position));
+    for (const startedAtMs of [0, 1000]) {
+      t.true(copy.isLeaving({ endpointId: 'e', startedAtMs }));
+      t.true(known.isLeaving(runIdOf({ endpointId: 'e', startedAtMs })));
+    }
+    t.false(copy.isLeaving({ endpointId: 'e', startedAtMs: 2000 }));
+    t.false(known.isLeaving(runIdOf({ endpointId: 'e', startedAtMs: 2000 })));
+  });
+});
+
 describe('endpoint register', () => {
-  const heartbeat = (sequence: number) => ({
+  const heartbeat = (sequence: number, startedAtMs = 0) => ({
     endpointId: 'e',
+    startedAtMs,
     service: 's',
     address: 'a:1',
     availabilityZone: 'z',
@@ -191,4 +229,15 @@
     register.forgetSilent(60_000);
     t.is(register.since('', 0, 60_000).heartbeats.length, 0);
   });
+
+  test(title('a new run counts from its first heartbeat, and none of the run before'), (t) => {
+    const register = new EndpointRegister('epoch');
+    t.true(register.hear(heartbeat(40, 1000), 0, 100));
+    t.true(register.hear(heartbeat(1, 2000), 0, 200));
+    t.false(register.hear(heartbeat(41, 1000), 0, 300));
+    t.false(register.hear(heartbeat(99), 0, 300), 'one that does not tell its start');
+    t.true(register.hear(heartbeat(2, 2000), 0, 400));
+    t.is(register.runOf('e')?.startedAtMs, 2000);
+    t.is(register.since('', 0, 400).heartbeats.length, 1);
+  });
 });
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './configuration.js';
 export * from './endpoint-register.js';
+export * from './endpoint-run.js';
 export * from './fleet-state.js';
 export * from './known-fleet.js';
 export * from './route-table.js';
--- a/packages/fleet/src/known-fleet.ts
+++ b/packages/fleet/src/known-fleet.ts
@@ -28,9 +28,9 @@
     return { version: this.table?.version ?? -1, leaveCount: this.leaveCount };
   }
 
-  /** Whether an endpoint has said that it leaves. */
-  isLeaving(endpointId: string): boolean {
-    return this.leavingIds.has(endpointId);
+  /** Whether a run of an endpoint has said that it leaves. */
+  isLeaving(runId: string): boolean {
+    return this.leavingIds.has(runId);
   }
 
   /** Whether a store is to be emptied. */
@@ -38,7 +38,7 @@
     return this.retiring.has(store);
   }
 
-  /** Takes news; gives the endpoints that newly leave and whether the routes changed. */
+  /** Takes news; gives the ids of the runs that newly leave and whether the routes changed. */
   take(delta: FleetDelta): { readonly newlyLeaving: string[]; readonly routesChanged: boolean } {
     const newlyLeaving = delta.leaving.filter((id) => !this.leavingIds.has(id));
     for (const id of newlyLeaving) this.leavingIds.add(id);
--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { describe, title } from '@shedline/test-utils';
 import { EndpointSender } from './endpoint-sender.js';
@@ -146,6 +147,51 @@
     },
   );
 
+  test(
+    title('ends what is under way at a run that is gone, and not what its successor answers'),
+    async (t) => {
+      const sockets: Socket[] = [];
+      const server = await endpoint((socket) => sockets.push(socket));
+      const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+      const sender = new EndpointSender({ protocol: PROTOCOL });
+      let heardCount = 0;
+      const sends = [1, 2].map(() =>
+        sender.send(
+          {
+            address,
+            requestId: REQUEST_ID,
+            method: 'POST',
+            path: '/',
+            headers: [],
+            body: Buffer.from('body'),
+            mayBeRepeated: false,
+          },
+          {
+            onHead: () => undefined,
+            onPart: () => {
+              heardCount += 1;
+              return true;
+            },
+          },
+        ),
+      );
+      while (sockets.length < 2) await pause(5);
+      const startedAtMs = performance.now();
+      sockets[1]?.write(STREAM_HEAD + chunk('id: 1\ndata: a\n\n'));
+      while (heardCount === 0) await pause(5);
+      t.is(sender.loseUnheard(address, startedAtMs), 1);
+      t.is(sender.loseUnheard('10.0.0.1:1', startedAtMs), 0);
+      sockets[1]?.write('0\r\n\r\n');
+      const results = await Promise.all(sends.map((send) => send.result));
+      const kinds = results.map((result) =>
+        result.kind === 'ended' ? result.outcome.kind : result.kind,
+      );
+      t.deepEqual(kinds.sort(), ['complete', 'lost']);
+      await sender.destroy();
+      server.close();
+    },
+  );
+
   test(title('knows a refusal that says that nothing ran'), async (t) => {
     const bytes = 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
     const { result } = await answeredWith(bytes, 'keep');
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -77,6 +77,7 @@
 export class EndpointSender implements RequestSender {
   private readonly protocol: EndpointProtocol;
   private readonly connections = new EndpointConnections();
+  private readonly running = new Map<string, Set<SendHandler>>();
 
   constructor(options: EndpointSenderOptions) {
     this.protocol = options.protocol;
@@ -85,6 +86,7 @@
   /** Begins a send. */
   send(send: Send, receiver: SendReceiver): RunningSend {
     const running = new SendHandler(this.protocol, send, receiver);
+    this.follow(send.address, running);
     const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
       method: send.method,
       path: send.path,
@@ -100,6 +102,26 @@
     return running;
   }
 
+  /**
+   * Ends the sends to an address from which nothing was heard since `sinceMs`, on the steady clock, as
+   * the endpoint there has started again since; gives their number. Behind a cut no reset tells of it: a stream
+   * that may run once only would be held until its caller's deadline, though nobody can finish it.
+   */
+  loseUnheard(address: string, sinceMs: number): number {
+    const lost = [...(this.running.get(address) ?? [])].filter((send) => send.heardAtMs < sinceMs);
+    for (const send of lost) send.lose('the endpoint has started again');
+    return lost.length;
+  }
+
+  private follow(address: string, send: SendHandler): void {
+    const sends = this.running.get(address) ?? new Set();
+    this.running.set(address, sends.add(send));
+    void send.result.then(() => {
+      sends.delete(send);
+      if (sends.size === 0 && this.running.get(address) === sends) this.running.delete(address);
+    });
+  }
+
   /** Closes the connections to an endpoint that is gone. */
   forget(address: string): void {
     this.connections.forget(address);
@@ -119,6 +141,8 @@
 /** Follows one send through the events of its connection. */
 class SendHandler implements Dispatcher.DispatchHandler, RunningSend {
   readonly result: Promise<SendResult>;
+  /** When the endpoint was last heard, or the send began; on the steady clock. */
+  heardAtMs = performance.now();
   private readonly protocol: EndpointProtocol;
   private readonly requestId: string;
   private readonly receiver: SendReceiver;
@@ -244,6 +268,7 @@
   }
 
   private heard(): void {
+    this.heardAtMs = performance.now();
     this.watch?.heard();
     if (!this.isToldSilent) return;
     this.tellSilence(false);
@@ -265,14 +290,20 @@
     this.settle(result);
   }
 
-  /** Whoever goes on elsewhere relies on the connection being closed by then. */
+  /** The endpoint no longer has the request. */
+  lose(reason: string): void {
+    this.giveUp(reason, {});
+  }
+
   private silent(limitMs: number): void {
-    const reason = `silent for ${limitMs} ms`;
+    this.giveUp(`silent for ${limitMs} ms`, { isSilence: true });
+  }
+
+  /** Whoever goes on elsewhere relies on the connection being closed by then. */
+  private giveUp(reason: string, cause: { readonly isSilence?: boolean }): void {
     const kind = this.isPassedOn ? 'brokeOff' : 'lost';
     const outcome: SendOutcome =
-      this.controller === undefined
-        ? { kind: 'notSent', reason }
-        : { kind, reason, isSilence: true };
+      this.controller === undefined ? { kind: 'notSent', reason } : { kind, reason, ...cause };
     this.finish({ kind: 'ended', outcome });
     this.abandon(reason);
   }
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -21,7 +21,7 @@
 
 /** What one send adds to the request. */
 export interface SendTerms {
-  /** Only this run of an endpoint may take the request. */
+  /** Id of the run of an endpoint that alone may take the request. */
   readonly endpointId: string;
   /** Time that the endpoint may work; undefined where it is not bounded. */
   readonly timeLeftMs: number | undefined;
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import type { AgedHeartbeat } from '@shedline/fleet';
+import { runIdOf } from '@shedline/fleet';
+import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import { describe, title } from '@shedline/test-utils';
 import { EndpointPool } from './endpoint-pool.js';
 
@@ -8,6 +9,23 @@
 const SLOTS = 8;
 const NONE: ReadonlySet<string> = new Set();
 const IN_REACH: ReadonlySet<string> = new Set(['a', 'gone']);
+const FIRST_RUN = runIdOf({ endpointId: 'a', startedAtMs: 1000 });
+const SECOND_RUN = runIdOf({ endpointId: 'a', startedAtMs: 2000 });
+
+function heardOf(
+  heard: Pick<EndpointHeartbeat, 'endpointId' | 'sequence'> & Partial<EndpointHeartbeat>,
+): AgedHeartbeat {
+  const heartbeat = {
+    startedAtMs: 0,
+    service: SERVICE,
+    address: `${heard.endpointId}:1`,
+    availabilityZone: 'z',
+    slots: SLOTS,
+    warmUpLeftMs: 0,
+    ...heard,
+  };
+  return { ageMs: 0, heartbeat };
+}
 
 /** A pool on a clock that the test moves. */
 class Setup {
@@ -22,29 +40,23 @@
     entryCount: () => 1,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
+    onRunGone: (address) => this.gone.push(address),
     onSilence: (moment) => this.silences.push(moment),
   });
   readonly silences: string[] = [];
+  readonly gone: string[] = [];
   private sequence = 0;
 
   /** News of a control process that heard these endpoints just now. */
   hear(...endpointIds: string[]): void {
     this.sequence += 1;
     const { sequence } = this;
-    this.pool.hear(
-      endpointIds.map((endpointId): AgedHeartbeat => ({
-        ageMs: 0,
-        heartbeat: {
-          endpointId,
-          service: SERVICE,
-          address: `${endpointId}:1`,
-          availabilityZone: 'z',
-          slots: SLOTS,
-          warmUpLeftMs: 0,
-          sequence,
-        },
-      })),
-    );
+    this.pool.hear(endpointIds.map((endpointId) => heardOf({ endpointId, sequence })));
+  }
+
+  /** News of one run of an endpoint. */
+  hearRun(endpointId: string, startedAtMs: number, sequence: number): void {
+    this.pool.hear([heardOf({ endpointId, startedAtMs, sequence })]);
   }
 
   /** Time passes in which control processes are heard, but none of the endpoints. */
@@ -146,3 +158,49 @@
     t.false(setup.hasRoom());
   });
 });
+
+describe('an endpoint that starts again under its id', () => {
+  test(title('takes work at once, with nothing under way'), (t) => {
+    const setup = new Setup();
+    setup.hearRun('a', 1000, 40);
+    for (let send = 0; send < SLOTS; send += 1) setup.pool.began(FIRST_RUN);
+    setup.pool.hearLoads('peer', [{ endpointId: FIRST_RUN, online: 2, batch: 0 }]);
+    setup.hearRun('a', 2000, 1);
+    t.false(setup.knows(FIRST_RUN));
+    t.like(setup.pool.choose(SERVICE, NONE), { endpointId: SECOND_RUN, load: 0 });
+    t.deepEqual(setup.gone, ['a:1']);
+    // What was under way at the run before ends without a trace.
+    setup.pool.ended(FIRST_RUN, { kind: 'stopped' }, undefined);
+    t.deepEqual(setup.pool.ownLoads(), []);
+  });
+
+  test(title('is not ejected for what the run before did'), (t) => {
+    const setup = new Setup();
+    setup.hear('b', 'c', 'd');
+    setup.hearRun('a', 1000, 1);
+    const outcome = { kind: 'notSent', reason: 'refused' } as const;
+    setup.pool.began(FIRST_RUN);
+    setup.pool.ended(FIRST_RUN, { kind: 'ended', outcome }, undefined);
+    t.false(setup.knows(FIRST_RUN));
+    setup.hearRun('a', 2000, 1);
+    t.true(setup.knows(SECOND_RUN));
+  });
+
+  test(title('a late heartbeat of the run before brings that run not back'), (t) => {
+    const setup = new Setup();
+    setup.hearRun('a', 2000, 1);
+    setup.hearRun('a', 1000, 50);
+    t.false(setup.knows(FIRST_RUN));
+    t.true(setup.knows(SECOND_RUN));
+    t.deepEqual(setup.gone, []);
+  });
+
+  test(title('a run that leaves takes nothing, the next one does'), (t) => {
+    const setup = new Setup();
+    setup.hearRun('a', 1000, 1);
+    setup.pool.markLeaving([FIRST_RUN]);
+    t.false(setup.knows(FIRST_RUN));
+    setup.hearRun('a', 2000, 1);
+    t.true(setup.knows(SECOND_RUN));
+  });
+});
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -1,9 +1,11 @@
 /**
- * The endpoints as one entry sees them: who may take work, and how much is under way there.
+ * The endpoints as one entry sees them: who may take work, and how much is under way there. Each
+ * run of an endpoint counts as an endpoint of its own, under the id of the run.
  */
 import type { WaitingCapacity } from '@shedline/admission';
 import { EndpointDirectory, LeaseClock } from '@shedline/directory';
 import type { KnownEndpoint, Placed } from '@shedline/directory';
+import { runIdOf } from '@shedline/fleet';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting } from '@shedline/routing';
@@ -55,6 +57,8 @@
   readonly onLoadChange: (endpointId: string) => void;
   /** Told when an online request goes to an endpoint without a free slot. */
   readonly onSlotWanted: (endpointId: string) => void;
+  /** Told when an endpoint has started again: `address` is that of the run before, which is gone. */
+  readonly onRunGone: (address: string, goneForMs: number) => void;
   /** Told when an endpoint or its connection fell silent, after an answer had begun or before. */
   readonly onSilence: (moment: 'begun' | 'notBegun') => void;
 }
@@ -70,6 +74,8 @@
   private readonly loads = new LoadView();
   private readonly routing: SlotRouting;
   private readonly addresses = new Map<string, string>();
+  /** Latest run of each endpoint, by the id that it gives itself. */
+  private readonly latest = new Map<string, EndpointHeartbeat>();
 
   constructor(options: EndpointPoolOptions) {
     this.options = options;
@@ -83,20 +89,43 @@
     this.routing = new SlotRouting({ random: options.random });
   }
 
-  /** Takes the news of a control process; true where some endpoint was not known before. */
+  /** Takes the news of a control process; true where some run was not known before. */
   hear(heartbeats: readonly AgedHeartbeat[]): boolean {
     const nowMs = this.options.nowMs();
     this.leaseClock.heard(nowMs);
     let isAnyNew = false;
     for (const { heartbeat, ageMs } of heartbeats) {
-      isAnyNew ||= !this.addresses.has(heartbeat.endpointId);
-      const isLeaving = this.options.isLeaving(heartbeat.endpointId);
+      if (!this.isOfLatestRun(heartbeat, ageMs)) continue;
+      const runId = runIdOf(heartbeat);
+      isAnyNew ||= !this.addresses.has(runId);
+      const isLeaving = this.options.isLeaving(runId);
       this.directory.observe(announcementOf(heartbeat, isLeaving), ageMs, nowMs);
-      this.addresses.set(heartbeat.endpointId, heartbeat.address);
+      this.addresses.set(runId, heartbeat.address);
     }
     return isAnyNew;
   }
 
+  /** False for a heartbeat of an earlier run that came late; a later run ends the one before. */
+  private isOfLatestRun(heartbeat: EndpointHeartbeat, ageMs: number): boolean {
+    const known = this.latest.get(heartbeat.endpointId);
+    this.latest.set(heartbeat.endpointId, heartbeat);
+    if (known === undefined || known.startedAtMs === heartbeat.startedAtMs) return true;
+    if (known.startedAtMs > heartbeat.startedAtMs) {
+      this.latest.set(heartbeat.endpointId, known);
+      return false;
+    }
+    this.forget(runIdOf(known));
+    this.options.onRunGone(known.address, ageMs);
+    return true;
+  }
+
+  /** Drops a run with all that is believed of it. */
+  private forget(runId: string): void {
+    this.directory.forget(runId);
+    this.addresses.delete(runId);
+    this.loads.forget(runId);
+  }
+
   /** Endpoints that leave take nothing from now on. */
   markLeaving(endpointIds: readonly string[]): void {
     const nowMs = this.options.nowMs();
@@ -116,10 +145,13 @@
     this.directory.forgetSilent(nowMs);
     const live = this.directory.live(nowMs).map((known) => known.announcement.endpointId);
     const liveIds = new Set(live);
-    for (const endpointId of this.addresses.keys()) {
-      if (liveIds.has(endpointId)) continue;
-      this.addresses.delete(endpointId);
-      this.loads.forget(endpointId);
+    for (const runId of this.addresses.keys()) {
+      if (!liveIds.has(runId)) this.addresses.delete(runId);
+    }
+    // Other entries tell of runs that were never heard of here, or no longer are.
+    this.loads.keepOnly(liveIds);
+    for (const [endpointId, heartbeat] of this.latest) {
+      if (this.directory.get(runIdOf(heartbeat)) === undefined) this.latest.delete(endpointId);
     }
     return new Set(this.addresses.values());
   }
@@ -300,8 +332,8 @@
 
 function announcementOf(heartbeat: EndpointHeartbeat, leaving: boolean): Announcement {
   return {
-    endpointId: heartbeat.endpointId,
-    // Each run of an endpoint has an id of its own.
+    endpointId: runIdOf(heartbeat),
+    // The id tells the runs of an endpoint apart already.
     incarnation: 0,
     sequence: heartbeat.sequence,
     url: `http://${heartbeat.address}`,
--- a/packages/gateway/src/fleet-follower.test.ts
+++ b/packages/gateway/src/fleet-follower.test.ts
@@ -12,6 +12,7 @@
   ageMs: 0,
   heartbeat: {
     endpointId: 'e',
+    startedAtMs: 0,
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: 'z',
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -329,6 +329,9 @@
       onSlotWanted: (endpointId) => {
         this.wantSlot(endpointId);
       },
+      onRunGone: (address, goneForMs) => {
+        this.endpointRestarted(address, goneForMs);
+      },
       onSilence: (moment) => {
         this.metrics.count('shedline_silent_sends_total', { moment });
       },
@@ -347,6 +350,12 @@
     this.metrics.gauge('shedline_control_silence_milliseconds', () => this.follower.silentMs);
   }
 
+  /** What was under way at the earlier run of an endpoint is lost. */
+  private endpointRestarted(address: string, goneForMs: number): void {
+    const lostSends = this.sender.loseUnheard(address, performance.now() - goneForMs);
+    this.logger.info('endpoint has started again', { step: 'endpoint', peer: address, lostSends });
+  }
+
   /** The entry that runs batch work at the endpoint makes room there. */
   private wantSlot(endpointId: string): void {
     const owner = this.runner.ownerOf(endpointId);
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -162,9 +162,11 @@
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
     onSilence: () => undefined,
+    onRunGone: () => undefined,
   });
   const heartbeat = {
     endpointId: 'e1',
+    startedAtMs: 0,
     service: 'svc',
     address: '127.0.0.1:1',
     availabilityZone: 'z',
--- a/packages/routing/src/load-view.ts
+++ b/packages/routing/src/load-view.ts
@@ -24,6 +24,8 @@
 
   /** Notes a request that begins or ends at an endpoint. */
   change(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
+    // What ends at an endpoint that was forgotten says nothing of any other.
+    if (by === -1 && !this.states.has(endpointId)) return;
     const state = this.stateOf(endpointId);
     if (kind === 'online') state.ownOnline = Math.max(0, state.ownOnline + by);
     else state.ownBatch = Math.max(0, state.ownBatch + by);
@@ -82,6 +84,13 @@
     }));
   }
 
+  /** Forgets all other endpoints. */
+  keepOnly(endpointIds: ReadonlySet<string>): void {
+    for (const endpointId of this.states.keys()) {
+      if (!endpointIds.has(endpointId)) this.states.delete(endpointId);
+    }
+  }
+
   /** Forgets an endpoint. */
   forget(endpointId: string): void {
     this.states.delete(endpointId);
