Processes are connected to the control processes with a disk only

Change: the control processes with a disk (the core) are everybody's; the seeds only until some of the core is reached. One outside the core tells of the core to whoever has only it as a seed.

--- /dev/null
+++ b/packages/mesh/src/control-choice.ts
@@ -0,0 +1,32 @@
+/**
+ * Which control processes a process keeps a connection to. Those with a disk hold the state of the
+ * fleet and its list of processes; the others pass on what endpoints and operators tell them, on weak
+ * instances beside an entry. With everybody connected to everybody, 20 control processes of a fleet of 200
+ * instances had 220 connections each: the weak ones answered nothing for over 1.3 s, were cut off by all at
+ * once, and opened all connections again.
+ */
+import type { PeerAddress } from '@shedline/transport';
+import type { MemberRecord } from './member-record.js';
+
+/** Options of {@link controlsToReach}. */
+export interface ControlChoiceOptions {
+  /** Control processes named by the settings. */
+  readonly seeds: readonly PeerAddress[];
+  /** Control processes that are up, as far as this process knows. */
+  readonly controls: readonly MemberRecord[];
+  /** Whether the connection to a control process is up. */
+  readonly isConnected: (name: string) => boolean;
+}
+
+/** Whether a control process holds the state of the fleet. */
+export function isCore({ kind, memberId }: MemberRecord): boolean {
+  return kind === 'control' && memberId !== undefined;
+}
+
+/** The control processes to be connected to: the core, and the seeds until some of it is reached. */
+export function controlsToReach(options: ControlChoiceOptions): PeerAddress[] {
+  const { seeds, controls, isConnected } = options;
+  const core = controls.filter(isCore);
+  if (core.length === 0) return [...seeds, ...controls];
+  return core.some(({ name }) => isConnected(name)) ? core : [...seeds, ...core];
+}
--- a/packages/mesh/src/member-view.ts
+++ b/packages/mesh/src/member-view.ts
@@ -54,6 +54,15 @@
     return fresh.length > 0 ? fresh : all;
   }
 
+  /** The same by all lists but that of one process; not kept, for rare use. */
+  liveExcept(kind: MemberKind, name: string, nowMs: number): MemberRecord[] {
+    const others = this.counting(nowMs).filter(([from]) => from !== name);
+    return unionOf(
+      kind,
+      others.map(([, list]) => list),
+    );
+  }
+
   /** Whether some control process has been heard lately. */
   isFresh(nowMs: number): boolean {
     return [...this.lists.values()].some((list) => nowMs - list.heardAtMs < LIST_LEASE_MS);
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '@shedline/logger';
 import { PeerBook } from '@shedline/transport';
 import type { Link, LinkHandlers, PeerAddress } from '@shedline/transport';
+import { controlsToReach, isCore } from './control-choice.js';
 import type { MemberKind, MemberRecord, MemberState } from './member-record.js';
 import { MemberRegister } from './member-register.js';
 import type { MemberChanges } from './member-register.js';
@@ -156,7 +157,10 @@
 
   private tick(): void {
     this.repeat();
-    if (this.record.kind === 'control') this.sendLists();
+    if (this.record.kind === 'control') {
+      if (!isCore(this.record)) this.tellOfCore();
+      this.sendLists();
+    }
     this.updateControls();
     this.noteTouch();
     this.options.onChange?.();
@@ -196,13 +200,25 @@
     this.options.logger.info(text, { step: 'join', controls: this.controls.ready.length });
   }
 
-  /** Keeps a connection to each control process that is up and to each seed. */
+  /** Keeps connections to the core, and to the seeds until that is found. */
   private updateControls(): void {
-    const wanted = new Map<string, PeerAddress>();
-    for (const seed of this.seeds) wanted.set(seed.name, seed);
-    for (const { name, host, port } of this.live('control')) wanted.set(name, { name, host, port });
-    for (const address of wanted.values()) this.controls.add(address);
-    this.controls.keepOnly(new Set(wanted.keys()));
+    const wanted = controlsToReach({
+      seeds: this.seeds,
+      controls: this.live('control'),
+      isConnected: (name) => this.controls.get(name)?.isReady === true,
+    });
+    for (const { name, host, port } of wanted) this.controls.add({ name, host, port });
+    this.controls.keepOnly(new Set(wanted.map(({ name }) => name)));
+  }
+
+  /**
+   * A control process outside the core tells of the core to whoever has only this one as a seed: it is
+   * announced to by nobody else.
+   */
+  private tellOfCore(): void {
+    const nowMs = this.options.nowMs();
+    const core = this.view.liveExcept('control', this.record.name, nowMs).filter(isCore);
+    for (const record of core) this.register.hear(record, nowMs);
   }
 
   /** Tells the connected processes what changed, and notes connections that closed. */
