--- a/packages/soak/src/endpoint-set.ts
+++ b/packages/soak/src/endpoint-set.ts
@@ -67,31 +67,33 @@
     return processHost;
   }
 
-  /** Starts an endpoint as a new run. */
-  async start(name: string): Promise<void> {
+  /** Starts an endpoint as a new run, under an id of its own or the one that it had. */
+  async start(name: string, endpointId?: string): Promise<void> {
     this.runCount += 1;
-    const endpointId = `${name}-run-${this.runCount}`;
+    const runName = `${name}-run-${this.runCount}`;
     const endpoint = await this.options.wire.startEndpoint({
-      endpointId,
+      endpointId: endpointId ?? runName,
+      startedAtMs: Date.now(),
+      runName,
       announcedHost: this.announcedHost(name),
       host: await this.listenHost(name),
       port: PORT,
       onRun: (requestId) => {
-        this.options.ledger.ran(requestId, endpointId, this.options.nowMs());
+        this.options.ledger.ran(requestId, runName, this.options.nowMs());
       },
     });
     this.endpoints.set(name, endpoint);
     this.options.heartbeats.add(endpoint);
   }
 
-  /** Breaks all connections of an endpoint; it comes back as another run. */
+  /** Breaks all connections of an endpoint; it comes back as another run under the same id. */
   async crash(name: string, forMs: number): Promise<void> {
     const endpoint = this.endpoints.get(name);
     if (endpoint === undefined) return;
     this.options.heartbeats.remove(endpoint.endpointId);
     await this.end(name, endpoint);
     await pause(forMs);
-    await this.start(name);
+    await this.start(name, endpoint.endpointId);
   }
 
   private async end(name: string, endpoint: SoakEndpoint): Promise<void> {
@@ -108,13 +110,13 @@
     endpoint?.setHanging(false);
   }
 
-  /** An endpoint says that it leaves, serves on, and is replaced. */
+  /** An endpoint says that it leaves, serves on, and starts again, each second time under its id. */
   async leave(name: string): Promise<void> {
     const endpoint = this.endpoints.get(name);
     if (endpoint === undefined) return;
     this.options.heartbeats.remove(endpoint.endpointId);
     const isAcknowledged = await this.options.heartbeats.beat(endpoint, true);
-    if (isAcknowledged) this.options.ledger.left(endpoint.endpointId, this.options.nowMs());
+    if (isAcknowledged) this.options.ledger.left(endpoint.runName, this.options.nowMs());
     // It goes on to say so while it serves what is still under way.
     const untilMs = this.options.nowMs() + LEAVE_SERVES_MS;
     while (this.options.nowMs() < untilMs) {
@@ -122,7 +124,7 @@
       await pause(HEARTBEAT_MS);
     }
     await this.end(name, endpoint);
-    await this.start(name);
+    await this.start(name, this.runCount % 2 === 0 ? endpoint.endpointId : undefined);
   }
 }
 
--- a/packages/soak/src/fleet-wire.ts
+++ b/packages/soak/src/fleet-wire.ts
@@ -28,7 +28,12 @@
 
 /** An endpoint that the soak plays. */
 export interface SoakEndpoint {
+  /** Id that it makes known; a later run may have the same. */
   readonly endpointId: string;
+  /** Start of this run, in Unix milliseconds; tells the runs of one id apart. */
+  readonly startedAtMs: number;
+  /** Names this run for the ledger. */
+  readonly runName: string;
   /** `host:port`. */
   readonly address: string;
   /** While it hangs it answers nothing. */
@@ -40,6 +45,8 @@
 /** Options of an endpoint. */
 export interface SoakEndpointOptions {
   readonly endpointId: string;
+  readonly startedAtMs: number;
+  readonly runName: string;
   /** IP number that it makes known; that of a relay where one stands before it. */
   readonly announcedHost: string;
   /** IP number that it listens on. */
@@ -68,6 +75,8 @@
   ): Promise<{ readonly version: number; readonly content: string } | undefined>;
   /** True where it was acknowledged. */
   heartbeat(control: Place, endpoint: SoakEndpoint, isLeaving: boolean): Promise<boolean>;
+  /** Something in the name of an endpoint that no endpoint would say; true where it was taken. */
+  nonsense(control: Place, endpoint: SoakEndpoint, variant: number): Promise<boolean>;
   startEndpoint(options: SoakEndpointOptions): Promise<SoakEndpoint>;
 }
 
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -156,6 +156,11 @@
     if (!this.leftAtMs.has(endpointId)) this.leftAtMs.set(endpointId, atMs);
   }
 
+  /** Something was acknowledged that no endpoint would say. */
+  nonsenseTaken(what: string, atMs: number): void {
+    this.broken('nonsense is refused', atMs, what);
+  }
+
   /** A configuration was acknowledged. */
   configured(version: number, atMs: number): void {
     this.count('configurations acknowledged');
--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -33,7 +33,8 @@
 /** What of the settings differs from start to start. */
 export interface SettingsOptions {
   readonly isFounding: boolean;
-  readonly dataDir: string;
+  /** Left out for a process without a disk. */
+  readonly dataDir?: string;
 }
 
 const HEAP_MB = 96;
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -265,20 +265,39 @@
   private readonly wire: FleetWire;
   private readonly controls: readonly Place[];
   private readonly endpoints = new Map<string, SoakEndpoint>();
+  private readonly onNonsenseTaken: (variant: number) => void;
   private timer: NodeJS.Timeout | undefined;
+  private rounds = 0;
 
-  constructor(wire: FleetWire, controls: readonly Place[]) {
+  constructor(
+    wire: FleetWire,
+    controls: readonly Place[],
+    onNonsenseTaken: (variant: number) => void,
+  ) {
     this.wire = wire;
     this.controls = controls;
+    this.onNonsenseTaken = onNonsenseTaken;
   }
 
   /** Begins to send. */
   start(): void {
     this.timer = setInterval(() => {
       for (const endpoint of this.endpoints.values()) void this.beat(endpoint, false);
+      void this.sendNonsense();
     }, HEARTBEAT_MS);
   }
 
+  /** Another writer says something in the name of one endpoint; nobody may heed it. */
+  private async sendNonsense(): Promise<void> {
+    const variant = this.rounds;
+    this.rounds += 1;
+    const endpoints = [...this.endpoints.values()];
+    const endpoint = endpoints[variant % endpoints.length];
+    const control = this.controls[variant % this.controls.length];
+    if (endpoint === undefined || control === undefined) return;
+    if (await this.wire.nonsense(control, endpoint, variant)) this.onNonsenseTaken(variant);
+  }
+
   /** Adds an endpoint. */
   add(endpoint: SoakEndpoint): void {
     this.endpoints.set(endpoint.endpointId, endpoint);
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -118,7 +118,9 @@
       silences: options.silences ?? 0,
     });
     this.processes = this.createProcesses();
-    this.heartbeats = new Heartbeats(this.wire, this.ofRole('control'));
+    this.heartbeats = new Heartbeats(this.wire, this.ofRole('control'), (variant) => {
+      this.ledger.nonsenseTaken(`variant ${variant}`, this.nowMs());
+    });
     this.ledger = new Ledger({
       isCalm: (fromMs, untilMs, concerns) => {
         const zeroMs = this.planZeroMs;
