Items that are begun are finished before others are begun; what cannot be finished in time waits

Change: begun items that can be on time first, the nearest to its end before the others; then new ones by due time if they can be on time with the interruptions seen; then the rest. The leader observes how much longer than a usual run items take (mean and two deviations). Holdings are kept by job: a grant makes no key a waiting item, and picks the first few in place of a sort of all.

--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -48,7 +48,9 @@
 
   /** Notes runs that were committed: the items are free again, and readers have news. */
   runsCommitted(group: number, { holder, finished, failed, returned }: CommitRuns): void {
-    this.dispenserOf(group).release(holder, [...failed, ...returned]);
+    const dispenser = this.dispenserOf(group);
+    dispenser.finished(finished, this.options.nowMs());
+    dispenser.release(holder, [...failed, ...returned]);
     const changed = [...finished, ...failed].map((run) => run.jobId);
     for (const jobId of new Set(changed)) this.wakeReaders(jobId);
   }
@@ -127,7 +129,7 @@
     const dispenser = this.dispenserOf(host.group);
     const time = { nowMs: this.options.nowMs(), wallMs: Date.now() };
     const granted = dispenser.grant(jobs, request, time);
-    const items = granted.map(({ job, index, progress }) => {
+    const items = granted.items.map(({ job, index, progress }) => {
       const { jobId, host: jobHost, path } = job.identity;
       const { dueAtMs } = job;
       const item = job.item(index);
@@ -141,10 +143,7 @@
         ...(progress === undefined ? {} : { progress }),
       };
     });
-    return {
-      items,
-      waitingItems: dispenser.unheldCount(jobs, request.quotaKey, this.options.nowMs()),
-    };
+    return { items, waitingItems: granted.unheldCount };
   }
 
   private async renew(
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -85,7 +85,7 @@
     if (method === 'grantItems') {
       const time = { nowMs: this.nowMs(), wallMs: this.nowMs() };
       const granted = this.dispenser.grant(this.jobs, request, time);
-      const items = granted.map(({ job, index, progress }) => ({
+      const items = granted.items.map(({ job, index, progress }) => ({
         ...job.identity,
         dueAtMs: job.dueAtMs,
         index,
--- a/packages/whole-jobs/src/item-dispenser.test.ts
+++ b/packages/whole-jobs/src/item-dispenser.test.ts
@@ -54,7 +54,7 @@
     const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
     const granted = dispenser.grant(jobs, request(3), { nowMs: SETTLED_MS, wallMs: 15_000 });
     t.deepEqual(
-      granted.map(({ job }) => job.identity.jobId),
+      granted.items.map(({ job }) => job.identity.jobId),
       ['soon', 'fresh', 'late'],
     );
   });
@@ -73,7 +73,7 @@
     dispenser.release('a', returned);
     // Two seconds are left: too few for a whole item, enough for the rest of the second one.
     const time = { nowMs: SETTLED_MS, wallMs: DUE_MS - 2000 };
-    const [first] = dispenser.grant(jobs, request(1, 'b'), time);
+    const [first] = dispenser.grant(jobs, request(1, 'b'), time).items;
     t.is(first?.index, 1);
     t.deepEqual(first?.progress, progress);
   });
@@ -82,10 +82,13 @@
     const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 1 }]);
     const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
     dispenser.becameLeader(SETTLED_MS);
-    t.deepEqual(dispenser.grant(jobs, request(1), { nowMs: SETTLED_MS + 100, wallMs: 0 }), []);
+    t.deepEqual(
+      dispenser.grant(jobs, request(1), { nowMs: SETTLED_MS + 100, wallMs: 0 }).items,
+      [],
+    );
     t.deepEqual(dispenser.renew(jobs, 'b', [{ jobId: 'j', index: 0 }], SETTLED_MS + 200), []);
     const later = { nowMs: SETTLED_MS + 2000, wallMs: 0 };
-    t.deepEqual(dispenser.grant(jobs, request(1), later), []);
+    t.deepEqual(dispenser.grant(jobs, request(1), later).items, []);
   });
 
   test(title('gives an item to one holder at a time, and again once its lease ran out'), (t) => {
@@ -104,7 +107,7 @@
           for (const { index } of dispenser.grant(jobs, request(max, holder), {
             nowMs,
             wallMs: 0,
-          })) {
+          }).items) {
             if ((heldUntil.get(index) ?? 0) > nowMs) return false;
             heldUntil.set(index, nowMs + LEASE_MS);
           }
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -3,6 +3,9 @@
  * an item may run more than once, so a new leader starts from what the holders tell it.
  */
 import type { ItemProgress } from './commands.js';
+import { ItemPace } from './item-pace.js';
+import { compareTurns } from './item-turn.js';
+import type { WaitingItem } from './item-turn.js';
 import type { JobRecord } from './job-record.js';
 import type { WholeJobs } from './whole-jobs.js';
 
@@ -44,20 +47,29 @@
   untilMs: number;
 }
 
+/** Who holds the items of one job, and when each was first handed out, by index. */
+interface JobHoldings {
+  readonly held: Map<number, Holding>;
+  readonly begunAtMs: Map<number, number>;
+}
+
 /** Monotonic time for leases and wall time for due times. */
 export interface DispenserTime {
   readonly nowMs: number;
   readonly wallMs: number;
 }
 
-/** An item that waits, with what decides its turn. */
-interface WaitingItem {
+/** An item that nobody holds. */
+interface UnheldItem extends WaitingItem {
   readonly job: JobRecord;
   readonly index: number;
-  /** Time that it probably still takes. */
-  readonly remainingMs: number;
-  /** Whether it will be late even if it starts now. */
-  readonly isLate: boolean;
+}
+
+/** What was handed out, and how much still waits. */
+export interface Dispensed {
+  readonly items: readonly DispensedItem[];
+  /** Items under the quota key that nobody holds after this. */
+  readonly unheldCount: number;
 }
 
 /** Least share of a whole run that an item is taken to need still. */
@@ -66,7 +78,9 @@
 /** Leases of items. */
 export class ItemDispenser {
   private readonly leaseMs: number;
-  private readonly holdings = new Map<string, Holding>();
+  private readonly holdings = new Map<string, JobHoldings>();
+  private readonly pace = new ItemPace();
+  private runMs = 0;
   private grantsFromMs = 0;
 
   constructor(options: ItemDispenserOptions) {
@@ -79,18 +93,18 @@
     this.grantsFromMs = nowMs + SETTLE_MS;
   }
 
-  /**
-   * Hands out items. Those that can still be on time come first, the earliest due before the
-   * others; what will be late in any case gets what is left, the nearest to its end first. So a
-   * backlog makes only some items late and not all of them.
-   */
-  grant(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): DispensedItem[] {
-    if (time.nowMs < this.grantsFromMs) return [];
-    const waiting = this.waitingItems(jobs, request, time).sort(byTurn);
-    return waiting.slice(0, request.maxItems).map(({ job, index }) => {
+  /** Hands out items, those whose turn it is; see {@link compareTurns}. */
+  grant(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): Dispensed {
+    const waiting = this.unheldItems(jobs, request, time);
+    if (time.nowMs < this.grantsFromMs) return { items: [], unheldCount: waiting.length };
+    this.runMs = request.runMs;
+    const { stretch } = this.pace;
+    const chosen = firstOf(waiting, request.maxItems, (a, b) => compareTurns(a, b, stretch));
+    const items = chosen.map(({ job, index }) => {
       this.hold({ jobId: job.identity.jobId, index }, request.holder, time.nowMs);
       return { job, index, progress: job.progressOf(index) };
     });
+    return { items, unheldCount: waiting.length - items.length };
   }
 
   /** Prolongs what a holder has; gives the items that it must not run any more. */
@@ -98,7 +112,7 @@
     const lost: ItemRef[] = [];
     for (const ref of refs) {
       const isOpen = jobs.get(ref.jobId)?.mayRun(ref.index) === true;
-      const other = this.holdings.get(keyOf(ref));
+      const other = this.holdings.get(ref.jobId)?.held.get(ref.index);
       const isOthers = other !== undefined && other.holder !== holder && other.untilMs > nowMs;
       if (isOpen && !isOthers) this.hold(ref, holder, nowMs);
       else lost.push(ref);
@@ -108,68 +122,70 @@
 
   /** Takes back items that their holder will not finish. */
   release(holder: string, items: readonly ItemRef[]): void {
-    for (const item of items) {
-      const key = keyOf(item);
-      if (this.holdings.get(key)?.holder === holder) this.holdings.delete(key);
+    for (const { jobId, index } of items) {
+      const held = this.holdings.get(jobId)?.held;
+      if (held?.get(index)?.holder === holder) held.delete(index);
     }
   }
 
-  /** Items under a quota key that nobody holds. */
-  unheldCount(jobs: WholeJobs, quotaKey: string, nowMs: number): number {
-    let count = 0;
-    for (const job of jobs.all) {
-      if (!job.isOpen || job.identity.quotaKey !== quotaKey) continue;
-      for (const index of job.openIndexes()) {
-        if (!this.isHeld({ jobId: job.identity.jobId, index }, nowMs)) count += 1;
-      }
+  /** Notes items that are finished. */
+  finished(items: readonly ItemRef[], nowMs: number): void {
+    for (const { jobId, index } of items) {
+      const begunAtMs = this.holdings.get(jobId)?.begunAtMs.get(index);
+      if (begunAtMs !== undefined) this.pace.finished(nowMs - begunAtMs, this.runMs);
     }
-    return count;
   }
 
   /** Forgets leases that ran out and items that are over. */
   sweep(jobs: WholeJobs, nowMs: number): void {
-    for (const [key, holding] of this.holdings) {
-      if (!isOpenItem(jobs, key) || holding.untilMs <= nowMs) this.holdings.delete(key);
+    for (const [jobId, { held, begunAtMs }] of this.holdings) {
+      const job = jobs.get(jobId);
+      if (job?.isOpen !== true) {
+        this.holdings.delete(jobId);
+        continue;
+      }
+      for (const [index, { untilMs }] of held) {
+        if (untilMs <= nowMs || !job.mayRun(index)) held.delete(index);
+      }
+      for (const index of begunAtMs.keys()) if (!job.mayRun(index)) begunAtMs.delete(index);
     }
   }
 
-  private waitingItems(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): WaitingItem[] {
-    const waiting: WaitingItem[] = [];
+  private unheldItems(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): UnheldItem[] {
+    const unheld: UnheldItem[] = [];
     for (const job of jobs.all) {
       if (!job.isOpen || job.identity.quotaKey !== request.quotaKey) continue;
+      const held = this.holdings.get(job.identity.jobId)?.held;
+      const leftMs = job.dueAtMs - time.wallMs;
       for (const index of job.openIndexes()) {
-        const ref = { jobId: job.identity.jobId, index };
-        if (this.isHeld(ref, time.nowMs)) continue;
-        const doneShare = job.eventCount(index) / Math.max(1, request.runEvents);
+        if ((held?.get(index)?.untilMs ?? 0) > time.nowMs) continue;
+        const eventCount = job.eventCount(index);
+        const doneShare = eventCount / Math.max(1, request.runEvents);
         const remainingMs = request.runMs * Math.max(MIN_REMAINING_SHARE, 1 - doneShare);
-        const isLate = job.dueAtMs - time.wallMs < remainingMs;
-        waiting.push({ job, index, remainingMs, isLate });
+        unheld.push({ job, index, leftMs, remainingMs, isBegun: eventCount > 0 });
       }
     }
-    return waiting;
-  }
-
-  private isHeld(ref: ItemRef, nowMs: number): boolean {
-    return (this.holdings.get(keyOf(ref))?.untilMs ?? 0) > nowMs;
+    return unheld;
   }
 
-  private hold(ref: ItemRef, holder: string, nowMs: number): void {
-    this.holdings.set(keyOf(ref), { holder, untilMs: nowMs + this.leaseMs });
+  private hold({ jobId, index }: ItemRef, holder: string, nowMs: number): void {
+    const known = this.holdings.get(jobId);
+    const { held, begunAtMs } = known ?? { held: new Map(), begunAtMs: new Map() };
+    if (known === undefined) this.holdings.set(jobId, { held, begunAtMs });
+    held.set(index, { holder, untilMs: nowMs + this.leaseMs });
+    if (!begunAtMs.has(index)) begunAtMs.set(index, nowMs);
   }
 }
 
-function byTurn(a: WaitingItem, b: WaitingItem): number {
-  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
-  const byDue = a.job.dueAtMs - b.job.dueAtMs;
-  const byRemaining = a.remainingMs - b.remainingMs;
-  return a.isLate ? byRemaining || byDue : byDue || byRemaining;
-}
-
-function keyOf(ref: ItemRef): string {
-  return `${ref.jobId}|${ref.index}`;
-}
-
-function isOpenItem(jobs: WholeJobs, key: string): boolean {
-  const [jobId = '', index = ''] = key.split('|');
-  return jobs.get(jobId)?.mayRun(Number(index)) === true;
+/** The first `count` in order; cheaper than a sort of all, of which hundreds may wait for one slot. */
+function firstOf<T>(all: readonly T[], count: number, compare: (a: T, b: T) => number): T[] {
+  const first: T[] = [];
+  for (const one of all) {
+    const last = first.at(-1);
+    if (first.length >= count && (last === undefined || compare(one, last) >= 0)) continue;
+    const place = first.findIndex((other) => compare(one, other) < 0);
+    first.splice(place === -1 ? first.length : place, 0, one);
+    if (first.length > count) first.pop();
+  }
+  return first;
 }
