--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -163,7 +163,7 @@
       logger,
       nowMs: this.nowMs,
       usersOf: (endpointId) => this.reach.batchUsersOf(endpointId),
-      entryCount: () => this.reach.entryCount,
+      entryCount: () => this.reach.batchEntryCount,
     });
     this.addGauges();
   }
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -21,7 +21,10 @@
 /** Time between requests for items while some wait, and while none do, in a small fleet. */
 const ASK_INTERVAL_MS = 60;
 const IDLE_ASK_INTERVAL_MS = 200;
-/** Entries up to which each asks that often; in larger fleets all together do not ask more. */
+/**
+ * Entries with batch work up to which each asks that often; with more all together do not ask more. Counting all
+ * entries, 165 with 52 endpoints, a slot that was free waited 0.6 s for its next item.
+ */
 const ENTRIES_ASKING_AT_FULL_RATE = 16;
 const ASK_TIMEOUT_MS = 1000;
 const RENEW_INTERVAL_MS = 1000;
--- a/packages/gateway/src/reach-keeper.ts
+++ b/packages/gateway/src/reach-keeper.ts
@@ -21,6 +21,7 @@
   private own: ReadonlySet<string> = new Set();
   private key = '';
   private entries = 1;
+  private endpointCount = 0;
 
   constructor(options: ReachKeeperOptions) {
     this.options = options;
@@ -34,6 +35,7 @@
     if (key === this.key) return false;
     this.key = key;
     this.entries = entries.length;
+    this.endpointCount = endpoints.length;
     this.reach = new Reach({ entries, endpoints });
     this.own = new Set(this.reach.endpointsOf(this.options.self));
     return true;
@@ -59,6 +61,11 @@
     return this.entries;
   }
 
+  /** Entries that may run batch work at the same time: one an endpoint. */
+  get batchEntryCount(): number {
+    return Math.min(this.entries, this.endpointCount);
+  }
+
   /** Other entries that share endpoints with this one. */
   get peers(): readonly string[] {
     return this.reach.peersOf(this.options.self);
