Requests with a long shared prompt part go where it is kept

Change: endpoints of a part by a hash of both, alike at all entries; what a miss costs is weighed with load and zone in SlotRouting, from 20 ms of reading on, never against a queue or an item.

Limit: in a divided fleet entries agree on a home only as far as they reach the same endpoints.

--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -4,6 +4,7 @@
  */
 import { WaitEstimate, compareTurns } from '@shedline/admission';
 import type { WaitingCapacity, WaitingRequest } from '@shedline/admission';
+import type { SharedPrompt } from '@shedline/types';
 
 /** Time between looks for free slots: those that other entries leave are not announced here. */
 const LOOK_INTERVAL_MS = 15;
@@ -20,8 +21,12 @@
 
 /** Finds endpoints with room. */
 export interface EndpointFinder {
-  /** An endpoint that may take a request now, but none of `tried`. */
-  choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined;
+  /** An endpoint that may take a request now, but none of `tried`; one that keeps its prompt part. */
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+    prompt?: SharedPrompt,
+  ): ChosenEndpoint | undefined;
   /** A request is about to be sent to the endpoint. */
   began(endpointId: string): void;
   /** What the endpoints of a service but `excluded` take; no slots where none is known to be up. */
@@ -37,6 +42,7 @@
   readonly tried: ReadonlySet<string>;
   /** Whether one that was tried may be chosen again where no other has room. */
   readonly mayRepeat: boolean;
+  readonly prompt?: SharedPrompt;
 }
 
 /** A place in the queue. */
@@ -129,11 +135,11 @@
   }
 
   private take(wish: EndpointWish): ChosenEndpoint | undefined {
-    const { service, tried, mayRepeat } = wish;
+    const { service, tried, mayRepeat, prompt } = wish;
     const repeated = mayRepeat && tried.size > 0;
     const found =
-      this.finder.choose(service, tried) ??
-      (repeated ? this.finder.choose(service, new Set()) : undefined);
+      this.finder.choose(service, tried, prompt) ??
+      (repeated ? this.finder.choose(service, NONE, prompt) : undefined);
     if (found !== undefined) this.finder.began(found.endpointId);
     return found;
   }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -97,7 +97,7 @@
   /** Waits for its turn; undefined where the request cannot be served in its time. */
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
     const { nowMs } = this.options;
-    const { service, route, deadlineMs, firstAskedAtMs } = this.task;
+    const { service, route, request, deadlineMs, firstAskedAtMs } = this.task;
     const sinceMs = nowMs();
     this.place = this.queue.enter({
       service,
@@ -109,6 +109,7 @@
         ? sinceMs + route.longestPauseMs
         : firstAskedAtMs + route.targetMs,
       deadlineMs,
+      ...(request.sharedPrompt === undefined ? {} : { prompt: request.sharedPrompt }),
     });
     const endpoint = await this.place.endpoint;
     this.place = undefined;
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -1,6 +1,7 @@
 /**
  * What the forwarder needs of the form in which endpoints are spoken to.
  */
+import type { SharedPrompt } from '@shedline/types';
 
 /** Headers in the order and spelling of the wire: name, value, name, value, … */
 export type RawHeaders = readonly string[];
@@ -17,6 +18,8 @@
   readonly body: Buffer;
   /** Event after which the caller wants the stream to go on. */
   readonly resumeAfterEventId?: string;
+  /** What its prompt has in common with other requests. */
+  readonly sharedPrompt?: SharedPrompt;
 }
 
 /** What one send adds to the request. */
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -10,7 +10,7 @@
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting } from '@shedline/routing';
 import type { SlotCandidate } from '@shedline/routing';
-import type { Announcement } from '@shedline/types';
+import type { Announcement, SharedPrompt } from '@shedline/types';
 
 /** Heartbeats that an endpoint may miss. */
 const MISSED_HEARTBEATS = 3;
@@ -189,8 +189,12 @@
     return this.addresses.get(endpointId);
   }
 
-  choose(service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
-    const chosen = this.chooseNear(service, tried);
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+    prompt?: SharedPrompt,
+  ): ChosenEndpoint | undefined {
+    const chosen = this.chooseNear(service, tried, prompt);
     if (chosen === undefined) return undefined;
     const { endpointId, online, batch, slots } = chosen;
     const address = this.addresses.get(endpointId);
@@ -285,10 +289,14 @@
    * reach was free, and took the others for idle, 98 of 409 requests of a peak went there and 35 of these
    * were late; of 19 that queued in reach 2 were (one zone of a fleet of 165 entries and 52 endpoints).
    */
-  private chooseNear(service: string, tried: ReadonlySet<string>): SlotCandidate | undefined {
+  private chooseNear(
+    service: string,
+    tried: ReadonlySet<string>,
+    prompt: SharedPrompt | undefined,
+  ): SlotCandidate | undefined {
     const isUntried = ({ endpointId }: SlotCandidate): boolean => !tried.has(endpointId);
     const near = this.usableInReach(service).filter(isUntried);
-    const chosen = this.routing.choose(near, this.options.availabilityZone);
+    const chosen = this.routing.choose(near, this.options.availabilityZone, prompt);
     return chosen ?? this.chooseFar(this.usable(service).filter(isUntried));
   }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from './address-choice.js';
 export * from './load-view.js';
 export * from './prefix-index.js';
+export * from './prompt-homes.js';
 export * from './routing.js';
 export * from './sample-entries.js';
 export * from './slot-routing.js';
--- a/packages/routing/src/slot-routing.ts
+++ b/packages/routing/src/slot-routing.ts
@@ -1,8 +1,12 @@
 /**
  * Choice of an endpoint that runs a fixed number of requests at once and knows no ranks: a free
- * slot first, then one that batch work will give up, then the shortest queue.
+ * slot first, then one that batch work will give up, then the shortest queue. Among free slots the
+ * load, the availability zone and where a long shared prompt part is kept are weighed.
  */
 
+import type { SharedPrompt } from '@shedline/types';
+import { promptCosts } from './prompt-homes.js';
+
 /** An endpoint that may take the request. */
 export interface SlotCandidate {
   readonly endpointId: string;
@@ -52,13 +56,16 @@
   choose(
     candidates: readonly SlotCandidate[],
     availabilityZone: string,
+    prompt?: SharedPrompt,
   ): SlotCandidate | undefined {
+    const endpointIds = candidates.map(({ endpointId }) => endpointId);
+    const reading = promptCosts(prompt, endpointIds);
     let best: SlotCandidate[] = [];
     let bestCost = Infinity;
     for (const candidate of candidates) {
       if (candidate.online >= candidate.slots + this.maxQueued) continue;
       const zone = candidate.availabilityZone === availabilityZone ? 0 : this.crossZoneShare;
-      const cost = costOf(candidate) + zone;
+      const cost = costOf(candidate) + zone + reading.of(candidate.endpointId);
       if (cost < bestCost) best = [];
       if (cost <= bestCost) best.push(candidate);
       bestCost = Math.min(bestCost, cost);
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -23,3 +23,4 @@
 /** Header that names a request between entry and endpoint. */
 export const REQUEST_ID_HEADER = 'x-request-id';
 export * from './prefix.js';
+export * from './shared-prompt.js';
