--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -29,6 +29,7 @@
 import { seedAddresses } from './ports.js';
 import { ProcessCore } from './process-core.js';
 import { StoreKeeper } from './store-keeper.js';
+import type { RetireOutcome, RetireProgress } from './store-keeper.js';
 import type { RefreshAnswer, RefreshRequest } from './protocol.js';
 
 const HELLO_TIMEOUT_MS = 800;
@@ -205,6 +206,21 @@
     return runs.reduce((last, run) => (run.startedAtMs > last.startedAtMs ? run : last), untold);
   }
 
+  /** Has the store of an instance emptied; see {@link StoreKeeper.retire}. */
+  retire(instance: string): Promise<RetireOutcome> {
+    if (this.groups !== undefined) return this.storeKeeper.retire(instance);
+    return this.callLeader('retire', instance) as Promise<RetireOutcome>;
+  }
+
+  /**
+   * How far the emptying of a store is; undefined where none was asked for. A process without a disk
+   * does not know what was asked for: it answered that nothing was.
+   */
+  async retirement(instance: string): Promise<RetireProgress | undefined> {
+    if (this.groups !== undefined) return this.storeKeeper.retirement(instance);
+    return ((await this.callLeader('retirement', instance)) as RetireProgress | null) ?? undefined;
+  }
+
   private propose(command: FleetCommand): Promise<FleetAnswer> {
     return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
   }
@@ -334,6 +350,10 @@
     switch (method) {
       case 'fleetRefresh':
         return this.refresh(payload as RefreshRequest);
+      case 'retire':
+        return this.leaderStoreKeeper(method).retire(payload as string);
+      case 'retirement':
+        return (await this.leaderStoreKeeper(method).retirement(payload as string)) ?? null;
       case 'endpointRun':
         return this.register.runOf(payload as string) ?? null;
       case 'fleetPropose':
@@ -361,6 +381,11 @@
     return this.machine.state.deltaSince(position);
   }
 
+  private leaderStoreKeeper(step: string): StoreKeeper {
+    if (!this.leader(step).isLeading) throw this.core.unavailable(step, 'does not lead');
+    return this.storeKeeper;
+  }
+
   private leader(step: string): GroupHost {
     const host = this.groups?.hosts.get(FLEET_GROUP);
     if (host === undefined) throw this.core.unavailable(step, 'this process holds no group');
--- a/packages/fleet-control/src/store-keeper.ts
+++ b/packages/fleet-control/src/store-keeper.ts
@@ -15,6 +15,11 @@
 /** Log groups of the stores; a fleet of more stores spreads them over more voters. */
 const JOB_GROUP_COUNT = 4;
 
+/** Answer to a request to empty a store. */
+export type RetireOutcome = 'accepted' | 'unknown' | 'tooFew';
+/** How far the emptying of a store is. */
+export type RetireProgress = 'running' | 'complete';
+
 /** Options of {@link StoreKeeper}. */
 export interface StoreKeeperOptions {
   readonly state: FleetState;
@@ -51,14 +56,14 @@
   }
 
   /** Has the store of an instance emptied, where enough others stay. */
-  async retire(instance: string): Promise<'accepted' | 'unknown' | 'tooFew'> {
+  async retire(instance: string): Promise<RetireOutcome> {
     const stores = this.options.liveStores();
     const store = stores.find((candidate) => candidate.instance === instance);
     if (store === undefined) return 'unknown';
     if (this.options.state.isRetiring(store.name)) return 'accepted';
     const staying = stores.filter(({ name }) => !this.options.state.isRetiring(name));
     if (staying.length - 1 < this.wantedVoters()) return 'tooFew';
-    await this.options.propose({ type: 'retireStore', store: store.name });
+    await this.options.propose({ type: 'retireStore', store: store.name, instance });
     this.options.logger.info('store retires', {
       step: 'retire',
       peer: store.name,
@@ -68,13 +73,16 @@
   }
 
   /** How far the emptying of a store is; undefined where none was asked for. */
-  async retirement(instance: string): Promise<'running' | 'complete' | undefined> {
-    const members = this.options.liveStores();
-    const store = members.find((candidate) => candidate.instance === instance);
-    if (store === undefined || !this.options.state.isRetiring(store.name)) return undefined;
-    const groupCount = this.options.state.storeCluster?.jobGroupCount ?? 0;
+  async retirement(instance: string): Promise<RetireProgress | undefined> {
+    const { state, liveStores } = this.options;
+    const members = liveStores();
+    const live = members.find((candidate) => candidate.instance === instance);
+    // One that is down for a moment is still to be emptied.
+    const store = state.retiringStoreOf(instance) ?? live?.name;
+    if (store === undefined || !state.isRetiring(store)) return undefined;
+    const groupCount = state.storeCluster?.jobGroupCount ?? 0;
     const statuses = await this.storeStatuses(members);
-    return isEmptied(store.name, groupCount, statuses) ? 'complete' : 'running';
+    return isEmptied(store, groupCount, statuses) ? 'complete' : 'running';
   }
 
   /** State of the groups at each store that answers. */
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -47,6 +47,8 @@
   readonly type: 'retireStore';
   /** Name of the store process. */
   readonly store: string;
+  /** Name of its instance, by which operators ask; left out by earlier programs. */
+  readonly instance?: string;
 }
 
 /** Any command of the fleet group. */
@@ -87,6 +89,8 @@
   readonly forgottenLeaves: number;
   readonly stores: StoreCluster | undefined;
   readonly retiringStores: readonly string[];
+  /** Instances of these, with the store; left out by earlier programs. */
+  readonly retiringInstances?: readonly (readonly [string, string])[];
 }
 
 /** The replicated state of a fleet. */
@@ -98,6 +102,7 @@
   private forgottenLeaves = 0;
   private stores: StoreCluster | undefined;
   private retiring = new Set<string>();
+  private retiringInstances = new Map<string, string>();
 
   /** Where the state stands. */
   get position(): FleetPosition {
@@ -117,6 +122,11 @@
     return this.retiring.has(store);
   }
 
+  /** The store of an instance that is to be emptied, whether or not it is up. */
+  retiringStoreOf(instance: string): string | undefined {
+    return this.retiringInstances.get(instance);
+  }
+
   /** The text of the configuration in force; empty before the first one. */
   get configurationDocument(): string {
     return this.document;
@@ -133,7 +143,7 @@
       .with({ type: 'putConfiguration' }, (c) => this.putConfiguration(c))
       .with({ type: 'recordLeave' }, (c) => this.recordLeave(c))
       .with({ type: 'formStores' }, (c) => this.formStores(c.cluster))
-      .with({ type: 'retireStore' }, (c) => this.retireStore(c.store))
+      .with({ type: 'retireStore' }, (c) => this.retireStore(c))
       .exhaustive();
     const outcome = changed ? 'stored' : 'held';
     return { ok: true, outcome, version: this.position.version };
@@ -164,6 +174,7 @@
       forgottenLeaves,
       stores,
       retiringStores,
+      retiringInstances: [...this.retiringInstances],
     };
     return data;
   }
@@ -178,6 +189,7 @@
     this.forgottenLeaves = data.forgottenLeaves;
     this.stores = data.stores ?? undefined;
     this.retiring = new Set(data.retiringStores);
+    this.retiringInstances = new Map(data.retiringInstances ?? []);
   }
 
   private putConfiguration({ configuration, document }: PutConfiguration): boolean {
@@ -206,9 +218,10 @@
     return true;
   }
 
-  private retireStore(store: string): boolean {
+  private retireStore({ store, instance }: RetireStore): boolean {
     if (this.retiring.has(store)) return false;
     this.retiring.add(store);
+    if (instance !== undefined) this.retiringInstances.set(instance, store);
     return true;
   }
 }
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -160,7 +160,7 @@
     for (const next of [put(3), { type: 'recordLeave', endpointId: 'e' } as const])
       state.apply(next);
     state.apply({ type: 'formStores', cluster });
-    state.apply({ type: 'retireStore', store: 'store' });
+    state.apply({ type: 'retireStore', store: 'store', instance: 'instance' });
     state.apply({ type: 'formStores', cluster: { ...cluster, clusterId: 'later' } });
     const copy = new FleetState();
     copy.restore(state.toData());
@@ -169,6 +169,8 @@
     t.is(copy.storeCluster?.clusterId, 'c');
     t.true(copy.isLeaving({ endpointId: 'e', startedAtMs: 0 }));
     t.true(copy.isRetiring('store'));
+    t.is(copy.retiringStoreOf('instance'), 'store');
+    t.is(copy.retiringStoreOf('other'), undefined);
   });
 });
 
