New items may always be begun in the first part of their time

Change: what interruptions are taken to cost is bounded by the time of the job; a new item may be begun as long as 0.7 of it is left.

--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -157,12 +157,13 @@
       if (!job.isOpen || job.identity.quotaKey !== request.quotaKey) continue;
       const held = this.holdings.get(job.identity.jobId)?.held;
       const leftMs = job.dueAtMs - time.wallMs;
+      const allowedMs = job.identity.resultsDueMs;
       for (const index of job.openIndexes()) {
         if ((held?.get(index)?.untilMs ?? 0) > time.nowMs) continue;
         const eventCount = job.eventCount(index);
         const doneShare = eventCount / Math.max(1, request.runEvents);
         const remainingMs = request.runMs * Math.max(MIN_REMAINING_SHARE, 1 - doneShare);
-        unheld.push({ job, index, leftMs, remainingMs, isBegun: eventCount > 0 });
+        unheld.push({ job, index, leftMs, allowedMs, remainingMs, isBegun: eventCount > 0 });
       }
     }
     return unheld;
--- a/packages/whole-jobs/src/item-load.test.ts
+++ b/packages/whole-jobs/src/item-load.test.ts
@@ -188,6 +188,13 @@
     }
   });
 
+  /** 0.33 where nothing bounds what interruptions are taken to cost, and with the soonest due first. */
+  test(title('where online work takes most slots'), (t) => {
+    const share = shareOf({ ...busy, cutEveryMs: 160, times: 1 });
+    t.log(share.toFixed(2));
+    t.true(share > 0.5);
+  });
+
   test(title('whatever online work takes'), (t) => {
     const load = fc.record({
       times: fc.double({ min: 0.5, max: 4, noNaN: true }),
--- a/packages/whole-jobs/src/item-turn.ts
+++ b/packages/whole-jobs/src/item-turn.ts
@@ -8,6 +8,8 @@
 export interface WaitingItem {
   /** Time that is left until its job is due; negative where it is late. */
   readonly leftMs: number;
+  /** Time that its job was given in all. */
+  readonly allowedMs: number;
   /** Time that its run probably still takes where nothing interrupts it. */
   readonly remainingMs: number;
   /** Whether an earlier run has made a part of it. */
@@ -23,13 +25,23 @@
 
 const CLASS_ORDER: Readonly<Record<TurnClass, number>> = { finish: 0, begin: 1, late: 2 };
 
+/**
+ * Share of the time of a job for which an item that is not begun may always be begun. Without it a time of many
+ * interruptions leaves nothing that could be begun, and only what is late already is served: 0.33 of the
+ * items that could be on time were, 0.60 with it (item-load test, interruptions twice as often as usual there).
+ */
+const ALWAYS_TIMELY_SHARE = 0.3;
+
 /**
  * The class of an item; `stretch` is how many times its uninterrupted time an item usually takes from its
  * first run to its end.
  */
-function classOf({ leftMs, remainingMs, isBegun }: WaitingItem, stretch: number): TurnClass {
-  if (isBegun) return leftMs >= remainingMs ? 'finish' : 'late';
-  return leftMs >= remainingMs * stretch ? 'begin' : 'late';
+function classOf(item: WaitingItem, stretch: number): TurnClass {
+  const { leftMs, allowedMs, remainingMs, isBegun } = item;
+  if (leftMs < remainingMs) return 'late';
+  if (isBegun) return 'finish';
+  const neededMs = Math.min(remainingMs * stretch, allowedMs * (1 - ALWAYS_TIMELY_SHARE));
+  return leftMs >= neededMs ? 'begin' : 'late';
 }
 
 /**
