--- a/packages/routing/src/prompt-homes.ts
+++ b/packages/routing/src/prompt-homes.ts
@@ -1,8 +1,9 @@
 /**
  * Where the shared part of a prompt is kept. Entries agree on the endpoints of a part without a word, by a hash
  * of both: the first of the order has it after its first request, the second takes what the first has no room
- * for. It answers loads whose shared parts take as long to read as callers wait: 13,300 tokens are read in 260 ms,
- * and sent to any endpoint in turn half of them were read again (played twin with such parts).
+ * for. It answers loads whose shared parts take as long to read as callers wait: 13,300 tokens take 260 ms. Sent to
+ * endpoints by load alone, 1.67 of 2.90 million tokens read were parts that some endpoint kept already, and half of
+ * the requests with such parts were late (29 instances, 16 endpoints, one run).
  */
 import { fastHash } from '@shedline/types';
 import type { SharedPrompt } from '@shedline/types';
@@ -15,8 +16,8 @@
  */
 const MATTERS_FROM_MS = 20;
 /**
- * Reading time that is as bad as an endpoint with all slots taken in place of an idle one: an engine makes
- * its events half as fast then, and a first event takes some 50 ms.
+ * Reading time that is as bad as an endpoint with all slots taken in place of an idle one. Chosen, not measured:
+ * twice the usual time to a first event, so that parts of over 5,000 tokens go before any load.
  */
 const FULL_ENDPOINT_MS = 100;
 /** Share of the reading time that the second home costs: a copy there serves later requests too. */
--- a/packages/whole-jobs/src/item-pace.ts
+++ b/packages/whole-jobs/src/item-pace.ts
@@ -3,7 +3,7 @@
  * their slots to online work, wait for another one and read their prompt again.
  */
 
-/** Stretch before an item was seen to end: one in three runs is cut on an ordinary day. */
+/** Stretch before an item was seen to end: one run in three is usually cut. */
 const FIRST_STRETCH = 1.4;
 const FIRST_DEVIATION = 0.2;
 /** Weight of the newest item. */
