Log what a lost send asked for

Sight for the incident: nothing in the logs told whether two requests under different ids were the same, so "one request comes again and again" could not be told from "endpoints end by themselves". A send that ends without an answer now names the content (digest of method, host, path and body). Worked out only then: no cost for what is answered.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -5,6 +5,7 @@
 import type { RunningSend, SendResult, SilenceRule } from './endpoint-sender.js';
 import type { ForwardEnd, ForwardTask, ForwarderOptions } from './forward-task.js';
 import type { EndpointHead } from './protocol.js';
+import { contentKeyOf } from './request-content.js';
 import { RequestPlan } from './request-plan.js';
 import type { PlanStep, SendOutcome } from './request-plan.js';
 
@@ -32,6 +33,7 @@
   /** Whether the send under way counts at its endpoint. */
   private holdsPlace = false;
   private pendingHead: EndpointHead | undefined;
+  private knownContentKey: string | undefined;
 
   constructor(options: ForwarderOptions, queue: EndpointQueue, task: ForwardTask) {
     this.options = options;
@@ -84,6 +86,13 @@
     return this.finish(step);
   }
 
+  /** Worked out only where a send was lost: it reads the whole body. */
+  private get contentKey(): string {
+    const { request, route } = this.task;
+    this.knownContentKey ??= contentKeyOf(route.host, request);
+    return this.knownContentKey;
+  }
+
   /** Whether the caller has left; asked anew after each wait. */
   private hasLeft(): boolean {
     return this.isGone;
@@ -311,6 +320,7 @@
       peer: endpoint.address,
       outcome: detail?.kind ?? result.kind,
       hasBegun: this.firstPartMs !== undefined,
+      content: this.contentKey,
       ...(reason === undefined ? {} : { reason }),
     });
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,4 +7,5 @@
 export * from './forward-task.js';
 export * from './forwarder.js';
 export * from './protocol.js';
+export * from './request-content.js';
 export * from './request-plan.js';
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -18,6 +18,8 @@
   readonly body: Buffer;
   /** Event after which the caller wants the stream to go on. */
   readonly resumeAfterEventId?: string;
+  /** Parts of its prompt as the caller lists them. */
+  readonly prompt?: string;
   /** What its prompt has in common with other requests. */
   readonly sharedPrompt?: SharedPrompt;
 }
