Record of contents under which endpoints have ended

Pure part of the mend: CrashRecords, a replicated record without a clock (a run begun in knowledge of n ends that ends its endpoint makes n + 1, so simultaneous ends of an outage are one; a run that goes well clears it; one asker is let try again), and KnownCrashes, what an entry holds back of it and for how long. Not used by any program yet.

--- /dev/null
+++ b/packages/quarantine/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Contents of requests under which endpoints have ended.
+ */
+export * from './crash-records.js';
+export * from './known-crashes.js';
