Fleet state keeps crash records; a reader that missed a push asks for it

Found beside it, by reading: KnownFleet moved its position on with any pushed news, so that a push that was missed (a link that was down) was never asked for: a leave record would have been unknown at that entry for good. News now say where they begin; the test "a reader that missed a push asks for what it missed" failed before.

--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -1,8 +1,10 @@
 /**
  * State machine of the fleet group: the configuration in force, the endpoints that have said
- * that they leave, and the cluster of the stores. What is in here was acknowledged by a quorum
+ * that they leave, the cluster of the stores, and the contents under which endpoints have ended. What is in here was acknowledged by a quorum
  * and never reverts.
  */
+import { CrashRecords } from '@shedline/quarantine';
+import type { CrashChanges, CrashCommand, CrashRecordsData } from '@shedline/quarantine';
 import { match } from 'ts-pattern';
 import type { Configuration } from './configuration.js';
 import { UNTOLD_START_MS, runIdOf } from './endpoint-run.js';
@@ -52,7 +54,7 @@
 }
 
 /** Any command of the fleet group. */
-export type FleetCommand = PutConfiguration | RecordLeave | FormStores | RetireStore;
+export type FleetCommand = PutConfiguration | RecordLeave | FormStores | RetireStore | CrashCommand;
 
 /** Answer to a command; `outcome` says whether the state changed. */
 export interface FleetAnswer {
@@ -68,10 +70,14 @@
   readonly version: number;
   /** Leave records known. */
   readonly leaveCount: number;
+  /** Newest change known of {@link CrashRecords}; left out by earlier programs. */
+  readonly crashNumber?: number;
 }
 
 /** What a reader lacks. */
 export interface FleetDelta {
+  /** Where the reader that it was made for stood; left out by earlier programs. */
+  readonly since?: FleetPosition;
   readonly position: FleetPosition;
   readonly configuration?: Configuration;
   /** Ids of the runs that leave, those that the reader lacks. */
@@ -79,6 +85,8 @@
   readonly stores?: StoreCluster;
   /** Stores that are to be emptied; the whole list. */
   readonly retiringStores: readonly string[];
+  /** Contents under which endpoints have ended; left out where the reader knows all. */
+  readonly crashes?: CrashChanges;
 }
 
 /** Plain form of the state. */
@@ -91,6 +99,8 @@
   readonly retiringStores: readonly string[];
   /** Instances of these, with the store; left out by earlier programs. */
   readonly retiringInstances?: readonly (readonly [string, string])[];
+  /** Left out by earlier programs. */
+  readonly crashes?: CrashRecordsData;
 }
 
 /** The replicated state of a fleet. */
@@ -103,12 +113,14 @@
   private stores: StoreCluster | undefined;
   private retiring = new Set<string>();
   private retiringInstances = new Map<string, string>();
+  private readonly crashes = new CrashRecords();
 
   /** Where the state stands. */
   get position(): FleetPosition {
     return {
       version: this.configuration?.version ?? -1,
       leaveCount: this.forgottenLeaves + this.leaving.length,
+      crashNumber: this.crashes.position,
     };
   }
 
@@ -144,6 +156,7 @@
       .with({ type: 'recordLeave' }, (c) => this.recordLeave(c))
       .with({ type: 'formStores' }, (c) => this.formStores(c.cluster))
       .with({ type: 'retireStore' }, (c) => this.retireStore(c))
+      .with({ type: 'recordCrashes' }, { type: 'beginTrial' }, (c) => this.crashes.apply(c))
       .exhaustive();
     const outcome = changed ? 'stored' : 'held';
     return { ok: true, outcome, version: this.position.version };
@@ -154,12 +167,15 @@
     const { position, configuration, stores } = this;
     const isOlder = configuration !== undefined && configuration.version > known.version;
     const from = Math.max(0, known.leaveCount - this.forgottenLeaves);
+    const crashes = this.crashes.changesSince(known.crashNumber ?? 0);
     return {
+      since: known,
       position,
       leaving: this.leaving.slice(from),
       retiringStores: [...this.retiring],
       ...(isOlder ? { configuration } : {}),
       ...(stores === undefined ? {} : { stores }),
+      ...(crashes.records.length === 0 ? {} : { crashes }),
     };
   }
 
@@ -175,6 +191,7 @@
       stores,
       retiringStores,
       retiringInstances: [...this.retiringInstances],
+      crashes: this.crashes.toData(),
     };
     return data;
   }
@@ -190,6 +207,7 @@
     this.stores = data.stores ?? undefined;
     this.retiring = new Set(data.retiringStores);
     this.retiringInstances = new Map(data.retiringInstances ?? []);
+    this.crashes.restore(data.crashes);
   }
 
   private putConfiguration({ configuration, document }: PutConfiguration): boolean {
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -154,6 +154,29 @@
     t.pass();
   });
 
+  test(title('a reader that missed a push asks for what it missed'), (t) => {
+    const state = new FleetState();
+    const known = new KnownFleet();
+    known.take(state.deltaSince(known.position));
+    state.apply({ type: 'recordLeave', endpointId: 'missed' });
+    const crashed = [{ contentKey: 'missed', knownCrashes: 0 }];
+    state.apply({ type: 'recordCrashes', crashed, survived: [] });
+    const pushed = state.position;
+    state.apply({ type: 'recordLeave', endpointId: 'heard' });
+    state.apply({ type: 'recordCrashes', crashed: [], survived: ['missed'] });
+    const second = state.deltaSince(pushed);
+    known.take(second);
+    t.true(known.isLeaving('heard'));
+    const answer = state.deltaSince(known.position);
+    t.deepEqual(
+      answer.crashes?.records.map(({ contentKey }) => contentKey),
+      ['missed'],
+    );
+    known.take(answer);
+    t.true(known.isLeaving('missed'));
+    t.deepEqual(known.position, state.position);
+  });
+
   test(title('a snapshot holds everything'), (t) => {
     const state = new FleetState();
     const cluster = { clusterId: 'c', initialMembers: ['a'], jobGroupCount: 4, voterCount: 3 };
@@ -162,15 +185,19 @@
     state.apply({ type: 'formStores', cluster });
     state.apply({ type: 'retireStore', store: 'store', instance: 'instance' });
     state.apply({ type: 'formStores', cluster: { ...cluster, clusterId: 'later' } });
+    const crashed = [{ contentKey: 'c', knownCrashes: 1 }];
+    state.apply({ type: 'recordCrashes', crashed, survived: [] });
     const copy = new FleetState();
     copy.restore(state.toData());
-    t.deepEqual(copy.position, { version: 3, leaveCount: 1 });
+    t.deepEqual(copy.position, { version: 3, leaveCount: 1, crashNumber: 1 });
     t.is(copy.configurationDocument, 'document 3');
     t.is(copy.storeCluster?.clusterId, 'c');
     t.true(copy.isLeaving({ endpointId: 'e', startedAtMs: 0 }));
     t.true(copy.isRetiring('store'));
     t.is(copy.retiringStoreOf('instance'), 'store');
     t.is(copy.retiringStoreOf('other'), undefined);
+    const { crashes } = copy.deltaSince({ version: 3, leaveCount: 1, crashNumber: 0 });
+    t.like(crashes?.records[0], { contentKey: 'c', crashes: 2 });
   });
 });
 
--- a/packages/fleet/src/known-fleet.ts
+++ b/packages/fleet/src/known-fleet.ts
@@ -2,13 +2,24 @@
  * What an entry knows of the fleet's state. It only grows: an answer of a control process that
  * lags changes nothing.
  */
+import type { CrashChanges } from '@shedline/quarantine';
 import { RouteTable } from './route-table.js';
 import type { FleetDelta, FleetPosition, StoreCluster } from './fleet-state.js';
 
+/** What was new in a delta. */
+export interface FleetNews {
+  /** Ids of the runs that newly leave. */
+  readonly newlyLeaving: readonly string[];
+  readonly routesChanged: boolean;
+  /** As told; some of it may be known. */
+  readonly crashes: CrashChanges | undefined;
+}
+
 /** The newest state heard of. */
 export class KnownFleet {
   private table: RouteTable | undefined;
   private leaveCount = 0;
+  private crashNumber = 0;
   private readonly leavingIds = new Set<string>();
   private stores: StoreCluster | undefined;
   private readonly retiring = new Set<string>();
@@ -25,7 +36,8 @@
 
   /** Where this view stands. */
   get position(): FleetPosition {
-    return { version: this.table?.version ?? -1, leaveCount: this.leaveCount };
+    const { leaveCount, crashNumber } = this;
+    return { version: this.table?.version ?? -1, leaveCount, crashNumber };
   }
 
   /** Whether a run of an endpoint has said that it leaves. */
@@ -38,17 +50,30 @@
     return this.retiring.has(store);
   }
 
-  /** Takes news; gives the ids of the runs that newly leave and whether the routes changed. */
-  take(delta: FleetDelta): { readonly newlyLeaving: string[]; readonly routesChanged: boolean } {
+  /** Takes news; gives what of it is new. */
+  take(delta: FleetDelta): FleetNews {
     const newlyLeaving = delta.leaving.filter((id) => !this.leavingIds.has(id));
     for (const id of newlyLeaving) this.leavingIds.add(id);
-    this.leaveCount = Math.max(this.leaveCount, delta.position.leaveCount);
+    this.moveOn(delta);
     for (const store of delta.retiringStores) this.retiring.add(store);
     if (delta.stores !== undefined) this.stores = delta.stores;
     const { configuration } = delta;
     const routesChanged =
       configuration !== undefined && configuration.version > this.position.version;
     if (routesChanged) this.table = new RouteTable(configuration);
-    return { newlyLeaving, routesChanged };
+    return { newlyLeaving, routesChanged, crashes: delta.crashes };
+  }
+
+  /**
+   * News that were pushed begin where the ones before ended: a reader that missed those stays where it is,
+   * and asks for them. While it moved on all the same, a missed leave was never heard of.
+   */
+  private moveOn({ since, position }: FleetDelta): void {
+    if ((since?.leaveCount ?? 0) <= this.leaveCount) {
+      this.leaveCount = Math.max(this.leaveCount, position.leaveCount);
+    }
+    if ((since?.crashNumber ?? 0) <= this.crashNumber) {
+      this.crashNumber = Math.max(this.crashNumber, position.crashNumber ?? 0);
+    }
   }
 }
--- a/packages/quarantine/src/quarantine.test.ts
+++ b/packages/quarantine/src/quarantine.test.ts
@@ -72,13 +72,11 @@
       const command = fc.oneof(
         fc.tuple(key, fc.nat(3)).map(([name, known]) => crashed(name, known)),
         key.map(survived),
-        fc
-          .tuple(key, fc.nat(2))
-          .map(([contentKey, trials]): CrashCommand => ({
-            type: 'beginTrial',
-            contentKey,
-            trials,
-          })),
+        fc.tuple(key, fc.nat(2)).map(([contentKey, trials]): CrashCommand => ({
+          type: 'beginTrial',
+          contentKey,
+          trials,
+        })),
       );
       fc.assert(
         fc.property(fc.array(fc.tuple(command, fc.boolean()), { maxLength: 900 }), (steps) => {
