An item under which three endpoints ended is given up with its reason

Now the entry looks whether the endpoint has ended, and the job's record, replicated, counts that: three in a row in which the item got no further (16 events) end it as errored, with the reason as its text. After the second it waits 4 s, so that what something else ended is not blamed on it.

--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -47,11 +47,12 @@
   }
 
   /** Notes runs that were committed: the items are free again, and readers have news. */
-  runsCommitted(group: number, { holder, finished, failed, returned }: CommitRuns): void {
+  runsCommitted(group: number, run: CommitRuns): void {
+    const { holder, finished, failed, returned, crashed = [] } = run;
     const dispenser = this.dispenserOf(group);
     dispenser.finished(finished, this.options.nowMs());
     dispenser.release(holder, [...failed, ...returned]);
-    const changed = [...finished, ...failed].map((run) => run.jobId);
+    const changed = [...finished, ...failed, ...crashed].map(({ jobId }) => jobId);
     for (const jobId of new Set(changed)) this.wakeReaders(jobId);
   }
 
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -172,6 +172,7 @@
       stores: storeCaller,
       fleet,
       pool: this.pool,
+      endWatch: this.endWatch,
       sender: this.sender,
       protocol,
       logger,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -41,6 +41,7 @@
   readonly ref: ItemRef;
   readonly granted: GrantedItem;
   readonly endpointId: string;
+  readonly address: string;
   readonly startedAtMs: number;
   readonly result: Promise<SendResult>;
   /** Whether the whole item was made by this run. */
@@ -56,6 +57,7 @@
     this.group = options.group;
     this.granted = granted;
     this.endpointId = endpointId;
+    this.address = address;
     this.ref = { jobId: granted.jobId, index: granted.index };
     this.startedAtMs = options.nowMs();
     this.isWhole = granted.progress === undefined;
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -136,7 +136,7 @@
   readHead: (status) => ({ ...HEAD, status }),
 };
 
-function createRunner(stores: FakeStores, sender: RequestSender): ItemRunner {
+function createRunner(stores: FakeStores, sender: RequestSender, hasEnded = false): ItemRunner {
   const nowMs = (): number => performance.now();
   const fleet = new KnownFleet();
   fleet.take({
@@ -181,6 +181,7 @@
     stores,
     fleet,
     pool,
+    endWatch: { hasEnded: () => Promise.resolve(hasEnded) },
     sender,
     protocol: PROTOCOL,
     logger: createLogger({ level: 'silent' }),
@@ -238,6 +239,22 @@
     ]);
   });
 
+  test(title('gives an item up under which three endpoints ended, with the reason'), async (t) => {
+    const stores = new FakeStores(() => performance.now() * 20);
+    const outcome = { kind: 'lost', reason: 'reset' } as const;
+    const sender = new FakeSender(() => ({ kind: 'ended', outcome }));
+    const runner = createRunner(stores, sender, true);
+    stores.submit(['a']);
+    runner.start();
+    await untilClosed(stores);
+    await runner.drain();
+    t.is(sender.sends, 3);
+    const text = 'given up: 3 endpoints ended while they ran it';
+    t.deepEqual(stores.jobs.results('job', 0, 1000)?.results, [
+      { itemId: 'a', state: 'errored', text },
+    ]);
+  });
+
   test(title('runs an item that can never be done once'), async (t) => {
     const stores = new FakeStores(() => performance.now());
     const sender = new FakeSender(() => ({
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -7,10 +7,12 @@
 import type { GroupCaller } from '@shedline/control-client';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import type { GrantAnswer, GrantedItem } from '@shedline/fleet-control';
+import { isBroken } from '@shedline/forwarding';
 import type { EndpointProtocol, RequestSender, SendResult } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { SlotCandidate } from '@shedline/routing';
 import type { ItemRef, ReturnedItem } from '@shedline/whole-jobs';
+import type { EndWatch } from './end-watch.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import { ItemRun } from './item-run.js';
 import { jobGroupOf, quotaKeyOf } from './job-desk.js';
@@ -51,6 +53,7 @@
   readonly stores: GroupCaller;
   readonly fleet: KnownFleet;
   readonly pool: EndpointPool;
+  readonly endWatch: Pick<EndWatch, 'hasEnded'>;
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly logger: Logger;
@@ -80,6 +83,8 @@
   private readonly runs = new Map<string, ItemRun>();
   private readonly routes = new Map<string, RouteState>();
   private readonly peaks = new Map<string, RecentPeak>();
+  /** Looks whether an endpoint has ended under an item, until that is handed back. */
+  private readonly looks = new Set<Promise<void>>();
   private timers: NodeJS.Timeout[] = [];
   private draining = false;
   /** Runs begun by this process; an item may come here more than once, its runs stay apart. */
@@ -116,6 +121,7 @@
     this.runs.clear();
     for (const run of runs) run.stop();
     for (const run of runs) this.reporter.returned(run.group, [returned(run)]);
+    await Promise.all(this.looks);
     await this.reporter.flush();
   }
 
@@ -285,7 +291,9 @@
     } else if (result.kind === 'failure' && result.head.status === CANNOT_BE_DONE_STATUS) {
       this.reporter.finished(run.group, { ...run.ref, state: 'errored', text: '' });
     } else if (result.kind === 'failure') {
-      this.reportFailure(run);
+      this.reporter.failed(run.group, { ...run.ref, runId: this.runIdOf(run) });
+    } else if (isBroken(result)) {
+      this.handBackBroken(run);
     } else {
       this.reporter.returned(run.group, [returned(run)]);
     }
@@ -300,10 +308,18 @@
     state.runMs += RUN_SMOOTHING * (tookMs - state.runMs);
   }
 
-  /** The stores count failed runs, and hand the item out again unless there were too many. */
-  private reportFailure(run: ItemRun): void {
-    const runId = `${this.options.holder}/${keyOf(run.ref)}/${run.runNumber}`;
-    this.reporter.failed(run.group, { ...run.ref, runId });
+  private runIdOf(run: ItemRun): string {
+    return `${this.options.holder}/${keyOf(run.ref)}/${run.runNumber}`;
+  }
+
+  /** The stores count the ends of endpoints under an item, and hand it out again unless there were too many. */
+  private handBackBroken(run: ItemRun): void {
+    const look = this.options.endWatch.hasEnded(run.endpointId, run.address).then((hasEnded) => {
+      if (hasEnded) this.reporter.crashed(run.group, returned(run), this.runIdOf(run));
+      else this.reporter.returned(run.group, [returned(run)]);
+      this.looks.delete(look);
+    });
+    this.looks.add(look);
   }
 
   private drop(run: ItemRun, reason: string): void {
--- a/packages/gateway/src/run-reporter.ts
+++ b/packages/gateway/src/run-reporter.ts
@@ -4,7 +4,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { GroupCaller } from '@shedline/control-client';
 import type { Logger } from '@shedline/logger';
-import type { FailedItem, FinishedItem, ReturnedItem } from '@shedline/whole-jobs';
+import type { CrashedItem, FailedItem, FinishedItem, ReturnedItem } from '@shedline/whole-jobs';
 
 /** Results of this long go out in one command. */
 const GATHER_MS = 15;
@@ -23,6 +23,7 @@
   finished: FinishedItem[];
   failed: FailedItem[];
   returned: ReturnedItem[];
+  crashed: CrashedItem[];
 }
 
 /** What the stores do not have yet. */
@@ -47,6 +48,15 @@
     this.send(group);
   }
 
+  /** Hands an item back whose endpoint ended, and reports that. */
+  crashed(group: number, item: ReturnedItem, runId: string): void {
+    const { jobId, index } = item;
+    const outbox = this.outboxOf(group);
+    outbox.returned.push(item);
+    outbox.crashed.push({ jobId, index, runId });
+    this.send(group);
+  }
+
   /** Hands items back. */
   returned(group: number, items: readonly ReturnedItem[]): void {
     this.outboxOf(group).returned.push(...items);
@@ -61,7 +71,7 @@
   private outboxOf(group: number): Outbox {
     const known = this.outboxes.get(group);
     if (known !== undefined) return known;
-    const fresh: Outbox = { finished: [], failed: [], returned: [] };
+    const fresh: Outbox = { finished: [], failed: [], returned: [], crashed: [] };
     this.outboxes.set(group, fresh);
     return fresh;
   }
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -57,6 +57,14 @@
   readonly runId: string;
 }
 
+/** An item whose endpoint ended while it ran there; it is handed back as well. */
+export interface CrashedItem {
+  readonly jobId: string;
+  readonly index: number;
+  /** Names the run, so that a repeated command counts it once. */
+  readonly runId: string;
+}
+
 /** How far an item got before its run was stopped. */
 export interface ItemProgress {
   /** Data of its events so far. */
@@ -79,6 +87,8 @@
   readonly finished: readonly FinishedItem[];
   readonly failed: readonly FailedItem[];
   readonly returned: readonly ReturnedItem[];
+  /** Left out by earlier programs. */
+  readonly crashed?: readonly CrashedItem[];
 }
 
 /** Ends a job: what is not listed yet will not run any more. */
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -12,6 +12,14 @@
 /** Time after an election in which holders tell what they have before anything is handed out. */
 const SETTLE_MS = 1200;
 
+/** Endpoints in a row that ended under an item from which it has to wait before its next run. */
+const CRASHES_TO_PAUSE = 2;
+/**
+ * Time for which it waits. If something else ended them, as one request that came again and again, that is over
+ * by then, and the item is not blamed for a third; if not, endpoints end less often.
+ */
+const CRASH_PAUSE_MS = 4000;
+
 /** Names an item. */
 export interface ItemRef {
   readonly jobId: string;
@@ -51,6 +59,8 @@
 interface JobHoldings {
   readonly held: Map<number, Holding>;
   readonly begunAtMs: Map<number, number>;
+  /** When an item began to wait because endpoints ended under it. */
+  readonly pausedAtMs: Map<number, number>;
 }
 
 /** Monotonic time for leases and wall time for due times. */
@@ -138,7 +148,7 @@
 
   /** Forgets leases that ran out and items that are over. */
   sweep(jobs: WholeJobs, nowMs: number): void {
-    for (const [jobId, { held, begunAtMs }] of this.holdings) {
+    for (const [jobId, { held, begunAtMs, pausedAtMs }] of this.holdings) {
       const job = jobs.get(jobId);
       if (job?.isOpen !== true) {
         this.holdings.delete(jobId);
@@ -148,6 +158,7 @@
         if (untilMs <= nowMs || !job.mayRun(index)) held.delete(index);
       }
       for (const index of begunAtMs.keys()) if (!job.mayRun(index)) begunAtMs.delete(index);
+      for (const index of pausedAtMs.keys()) if (!job.mayRun(index)) pausedAtMs.delete(index);
     }
   }
 
@@ -160,6 +171,7 @@
       const allowedMs = job.identity.resultsDueMs;
       for (const index of job.openIndexes()) {
         if ((held?.get(index)?.untilMs ?? 0) > time.nowMs) continue;
+        if (this.isPaused(job, index, time.nowMs)) continue;
         const eventCount = job.eventCount(index);
         const doneShare = eventCount / Math.max(1, request.runEvents);
         const remainingMs = request.runMs * Math.max(MIN_REMAINING_SHARE, 1 - doneShare);
@@ -169,10 +181,25 @@
     return unheld;
   }
 
-  private hold({ jobId, index }: ItemRef, holder: string, nowMs: number): void {
+  /** Whether an item still has to wait because endpoints ended under it. */
+  private isPaused(job: JobRecord, index: number, nowMs: number): boolean {
+    if (job.crashCount(index) < CRASHES_TO_PAUSE) return false;
+    const { pausedAtMs } = this.holdingsOf(job.identity.jobId);
+    const sinceMs = pausedAtMs.get(index) ?? nowMs;
+    pausedAtMs.set(index, sinceMs);
+    return nowMs - sinceMs < CRASH_PAUSE_MS;
+  }
+
+  private holdingsOf(jobId: string): JobHoldings {
     const known = this.holdings.get(jobId);
-    const { held, begunAtMs } = known ?? { held: new Map(), begunAtMs: new Map() };
-    if (known === undefined) this.holdings.set(jobId, { held, begunAtMs });
+    if (known !== undefined) return known;
+    const fresh = { held: new Map(), begunAtMs: new Map(), pausedAtMs: new Map() };
+    this.holdings.set(jobId, fresh);
+    return fresh;
+  }
+
+  private hold({ jobId, index }: ItemRef, holder: string, nowMs: number): void {
+    const { held, begunAtMs } = this.holdingsOf(jobId);
     held.set(index, { holder, untilMs: nowMs + this.leaseMs });
     if (!begunAtMs.has(index)) begunAtMs.set(index, nowMs);
   }
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -8,6 +8,17 @@
 import type { ItemFiles } from '@shedline/storage';
 import type { ItemEnd, ItemProgress, SubmitJob, SubmittedItem } from './commands.js';
 
+/**
+ * Endpoints that may end under an item in a row before it is given up. Each takes what it is at work on with it,
+ * up to 8 requests of others; handed out again without end, one item ended 102 of 16 endpoints in 24 s.
+ */
+const MAX_CRASHES = 3;
+/**
+ * Events beyond which an item has got on between two ends, so that these do not follow from it: whatever ends
+ * its endpoint does so at the same place again. About a third of a second of a run.
+ */
+const EVENTS_OF_PROGRESS = 16;
+
 /** What stays the same over the life of a job. */
 export interface JobIdentity {
   readonly jobId: string;
@@ -44,6 +55,14 @@
   readonly failedRuns: readonly (readonly [number, readonly string[]])[];
   /** Index of the item, unit of the record, and number of events, of what items have so far. */
   readonly progress: readonly (readonly [number, number, number])[];
+  /** Index of the item, runs whose endpoints ended, and events by then; left out by earlier programs. */
+  readonly crashes?: readonly (readonly [number, readonly string[], number])[];
+}
+
+/** Ends of endpoints in a row under an item that got no further between them. */
+interface Crashes {
+  readonly runIds: readonly string[];
+  readonly eventCount: number;
 }
 
 /** A job with its items. */
@@ -58,6 +77,7 @@
   private listed: [number, number][] = [];
   private readonly failedRuns = new Map<number, string[]>();
   private readonly progress = new Map<number, { unit: number; eventCount: number }>();
+  private readonly crashes = new Map<number, Crashes>();
   private bodyBytes = 0;
   private resultBytes = 0;
   private waiting = 0;
@@ -176,6 +196,7 @@
     this.waiting -= this.itemTokens[index] ?? 0;
     this.failedRuns.delete(index);
     this.progress.delete(index);
+    this.crashes.delete(index);
     return true;
   }
 
@@ -189,9 +210,31 @@
     if (runs.length >= this.identity.maxAttempts) this.finish(index, 'errored', '');
   }
 
+  /** Endpoints in a row that ended under an item. */
+  crashCount(index: number): number {
+    return this.crashes.get(index)?.runIds.length ?? 0;
+  }
+
+  /**
+   * Counts a run whose endpoint ended, once; gives the item up after too many. What the run made has
+   * been saved before.
+   */
+  countCrash(index: number, runId: string): void {
+    if (!this.mayRun(index)) return;
+    const known = this.crashes.get(index);
+    if (known?.runIds.includes(runId) === true) return;
+    const eventCount = this.eventCount(index);
+    const gotOn = known === undefined || eventCount - known.eventCount > EVENTS_OF_PROGRESS;
+    const runIds = gotOn ? [runId] : [...known.runIds, runId];
+    this.crashes.set(index, { runIds, eventCount });
+    if (runIds.length < MAX_CRASHES) return;
+    this.finish(index, 'errored', `given up: ${runIds.length} endpoints ended while they ran it`);
+  }
+
   /** Ends the job. */
   end(): void {
     this.ended = true;
+    this.crashes.clear();
     this.failedRuns.clear();
     this.progress.clear();
   }
@@ -223,6 +266,7 @@
       listed: this.listed,
       failedRuns: [...this.failedRuns],
       progress: [...this.progress].map(([index, kept]) => [index, kept.unit, kept.eventCount]),
+      crashes: [...this.crashes].map(([index, kept]) => [index, kept.runIds, kept.eventCount]),
     };
   }
 
@@ -242,6 +286,9 @@
     for (const [index, unit, eventCount] of data.progress) {
       job.progress.set(index, { unit, eventCount });
     }
+    for (const [index, runIds, eventCount] of data.crashes ?? []) {
+      job.crashes.set(index, { runIds, eventCount });
+    }
     for (const index of job.unlistedIndexes()) job.waiting += job.itemTokens[index] ?? 0;
     return job;
   }
--- a/packages/whole-jobs/src/whole-jobs.test.ts
+++ b/packages/whole-jobs/src/whole-jobs.test.ts
@@ -64,6 +64,15 @@
     failed: [],
     returned: [{ ...ref, progress: { pieces, lastEventId: String(pieces.length) } }],
   })),
+  fc.tuple(item, fc.nat(9)).map(([ref, run]): WholeJobCommand => ({
+    type: 'commitRuns',
+    atMs: 0,
+    holder: 'h',
+    finished: [],
+    failed: [],
+    returned: [],
+    crashed: [{ ...ref, runId: `run ${run}` }],
+  })),
   jobId.map((id): WholeJobCommand => ({ type: 'endJob', atMs: 0, jobId: id })),
 );
 
@@ -178,6 +187,27 @@
     t.is(jobs.get('a')?.progressOf(0), undefined);
   });
 
+  test(title('gives an item up under which three endpoints ended where it got no further'), (t) => {
+    const jobs = new WholeJobs(new MemoryItemFiles());
+    jobs.apply(submit('a', 0), 1);
+    const crash = (index: number, eventCount: number, runId: string): void => {
+      const pieces = Array.from({ length: eventCount }, () => 'x');
+      const progress = { pieces, lastEventId: String(eventCount) };
+      const runs = { holder: 'h', finished: [], failed: [] };
+      const returned = [{ jobId: 'a', index, progress }];
+      const crashed = [{ jobId: 'a', index, runId }];
+      jobs.apply({ type: 'commitRuns', atMs: 0, ...runs, returned, crashed }, 2);
+    };
+    for (const run of ['r1', 'r2', 'r2', 'r2']) crash(0, 3, run);
+    t.is(jobs.get('a')?.crashCount(0), 2, 'a repeated command counts once');
+    crash(0, 5, 'r3');
+    t.deepEqual(listOf(jobs, 'a'), ['a-0 errored given up: 3 endpoints ended while they ran it']);
+    for (const [number, eventCount] of [20, 50, 90, 130].entries()) {
+      crash(1, eventCount, `r${number}`);
+      t.is(jobs.get('a')?.crashCount(1), 1, 'an item that gets on is not blamed');
+    }
+  });
+
   test(title('gives items up only after their time, and forgets only what is over'), (t) => {
     const jobs = new WholeJobs(new MemoryItemFiles());
     jobs.apply(submit('a', 0), 1);
--- a/packages/whole-jobs/src/whole-jobs.ts
+++ b/packages/whole-jobs/src/whole-jobs.ts
@@ -139,6 +139,12 @@
     for (const { jobId, index, progress } of command.returned) {
       if (progress !== undefined) this.jobs.get(jobId)?.saveProgress(index, progress);
     }
+    for (const { jobId, index, runId } of command.crashed ?? []) {
+      this.changing(jobId, (job) => {
+        job.countCrash(index, runId);
+        return true;
+      });
+    }
     return { stored, dropped: command.finished.length - stored };
   }
 
