--- /dev/null
+++ b/packages/gateway/src/crash-guard.test.ts
@@ -0,0 +1,153 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import test from 'ava';
+import type { GroupCaller } from '@shedline/control-client';
+import { FleetState } from '@shedline/fleet';
+import type { FleetCommand, FleetPosition } from '@shedline/fleet';
+import type { BrokenSend } from '@shedline/forwarding';
+import { createLogger } from '@shedline/logger';
+import { describe, title } from '@shedline/test-utils';
+import { CrashGuard } from './crash-guard.js';
+import { CrashReporter } from './crash-reporter.js';
+
+const START: FleetPosition = { version: -1, leaveCount: 0, crashNumber: 0 };
+const HOUR_MS = 3_600_000;
+
+/** A fleet group of one, which can be out of reach. */
+class FakeFleet implements GroupCaller {
+  readonly state = new FleetState();
+  isReachable = true;
+  commands = 0;
+
+  call(_method: string, _group: number, payload: unknown): Promise<unknown> {
+    if (!this.isReachable) return Promise.reject(new Error('no leader'));
+    this.commands += 1;
+    return Promise.resolve(this.state.apply(payload as FleetCommand));
+  }
+}
+
+/** One entry; all of its endpoints that broke off have ended. */
+class Entry {
+  nowMs = 0;
+  readonly guard: CrashGuard;
+  private position = START;
+
+  constructor(fleet: FakeFleet) {
+    const logger = createLogger({ level: 'silent' });
+    const nowMs = (): number => this.nowMs;
+    this.guard = new CrashGuard({
+      endWatch: {
+        whenEnded: (_endpointId, _address, then) => {
+          then();
+          return Promise.resolve();
+        },
+      },
+      reporter: new CrashReporter({ fleet, logger, nowMs }),
+      logger,
+      nowMs,
+    });
+  }
+
+  follow({ state }: FakeFleet): void {
+    const { crashes, position } = state.deltaSince(this.position);
+    this.position = position;
+    if (crashes !== undefined) this.guard.take(crashes, 'control');
+  }
+
+  /** Runs a content under which its endpoint ends. */
+  crash(contentKey: string): void {
+    this.guard.brokeOff(sendOf(contentKey, this.guard.crashesOf(contentKey)));
+  }
+}
+
+function sendOf(contentKey: string, knownCrashes: number): BrokenSend {
+  return { endpointId: 'e', address: 'a:1', requestId: 'r', contentKey, knownCrashes };
+}
+
+async function until(what: () => boolean): Promise<void> {
+  while (!what()) await pause(5);
+}
+
+describe('CrashGuard', () => {
+  test(title('entries hold back together what ended an endpoint at each of two'), async (t) => {
+    const fleet = new FakeFleet();
+    const [first, second, third] = [new Entry(fleet), new Entry(fleet), new Entry(fleet)];
+    t.true(first.guard.isIdle);
+    first.crash('bad');
+    await until(() => fleet.commands === 1);
+    for (const entry of [first, second, third]) entry.follow(fleet);
+    t.deepEqual(await second.guard.admit('bad'), { isAdmitted: true });
+    second.crash('bad');
+    await until(() => fleet.commands === 2);
+    third.follow(fleet);
+    t.deepEqual(await third.guard.admit('bad'), { isAdmitted: false, retryAfterMs: 60_000 });
+    t.is(third.guard.heldMs('bad'), 60_000);
+    t.deepEqual(await third.guard.admit('other'), { isAdmitted: true });
+    t.is(third.guard.heldCount, 1);
+
+    const newcomer = new Entry(fleet);
+    newcomer.follow(fleet);
+    t.is(newcomer.guard.heldMs('bad'), 60_000, 'an entry that has just started');
+  });
+
+  test(
+    title('one entry is let try it when its time is over, and a good run clears it'),
+    async (t) => {
+      const fleet = new FakeFleet();
+      const entries = [new Entry(fleet), new Entry(fleet)];
+      entries[0]?.crash('bad');
+      entries[0]?.crash('bad');
+      await until(() => fleet.commands > 0);
+      for (const entry of entries) {
+        entry.follow(fleet);
+        entry.nowMs += 60_000;
+        t.true(entry.guard.heldMs('bad') > 0, 'nobody has been let try it yet');
+      }
+      const admissions = await Promise.all(entries.map(({ guard }) => guard.admit('bad')));
+      t.is(admissions.filter(({ isAdmitted }) => isAdmitted).length, 1);
+      entries[0]?.guard.survived('bad');
+      await until(() => fleet.state.deltaSince(START).crashes?.records[0]?.crashes === 0);
+      for (const entry of entries) {
+        entry.follow(fleet);
+        t.true(entry.guard.isIdle);
+      }
+    },
+  );
+
+  test(
+    title('what many ask is cleared by its good runs, beside one that is held back'),
+    async (t) => {
+      const fleet = new FakeFleet();
+      const entry = new Entry(fleet);
+      for (let end = 0; end < 2; end += 1) {
+        entry.crash('bad');
+        entry.crash('popular');
+        entry.guard.survived('popular');
+      }
+      await until(() => fleet.commands > 0);
+      entry.follow(fleet);
+      t.is(entry.guard.heldMs('popular'), 0);
+      t.true(entry.guard.heldMs('bad') > 0);
+    },
+  );
+
+  test(
+    title('an entry without a leader holds back what it saw itself, and reports it later'),
+    async (t) => {
+      const fleet = new FakeFleet();
+      fleet.isReachable = false;
+      const entry = new Entry(fleet);
+      entry.crash('bad');
+      entry.crash('bad');
+      t.false((await entry.guard.admit('bad')).isAdmitted);
+      entry.nowMs += 60_000;
+      t.false((await entry.guard.admit('bad')).isAdmitted, 'nobody lets it try');
+      fleet.isReachable = true;
+      entry.nowMs -= 60_000;
+      await until(() => fleet.commands > 0);
+      t.is(fleet.state.deltaSince(START).crashes?.records[0]?.crashes, 2);
+      entry.nowMs += HOUR_MS;
+      entry.follow(fleet);
+      t.true(entry.guard.heldMs('bad') > 0);
+    },
+  );
+});
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -168,6 +168,26 @@
     t.true(setup.hasRoom());
   });
 
+  test(title('endpoints whose ports are closed take nothing until they are heard again'), (t) => {
+    const setup = new Setup();
+    setup.hear('a', 'b', 'c');
+    for (const endpointId of ['a', 'b']) {
+      setup.pool.began(endpointId);
+      const outcome = { kind: 'notSent', reason: 'ECONNREFUSED' } as const;
+      setup.pool.ended(endpointId, { kind: 'ended', outcome }, undefined);
+    }
+    setup.pool.markEnded('c');
+    for (const endpointId of ['a', 'b', 'c']) t.false(setup.knows(endpointId), 'also all of them');
+    setup.passWithNews(1000);
+    const late = heardOf({ endpointId: 'a', sequence: 2 });
+    setup.pool.hear([{ ...late, ageMs: 1100 }]);
+    t.false(setup.knows('a'), 'a heartbeat from before its end');
+    setup.hear('a');
+    setup.hear('a');
+    t.true(setup.knows('a'));
+    t.false(setup.knows('b'));
+  });
+
   test(title('silence after an answer has begun does not count against its endpoint'), (t) => {
     const setup = new Setup();
     setup.hear('a', 'b', 'c');
--- a/packages/whole-jobs/src/item-dispenser.test.ts
+++ b/packages/whole-jobs/src/item-dispenser.test.ts
@@ -78,6 +78,26 @@
     t.deepEqual(first?.progress, progress);
   });
 
+  test(title('an item under which two endpoints ended waits, the others do not'), (t) => {
+    const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 2 }]);
+    const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
+    const grantAt = (nowMs: number): number[] =>
+      dispenser.grant(jobs, request(2), { nowMs, wallMs: 0 }).items.map(({ index }) => index);
+    for (const runId of ['first', 'second']) {
+      const crashed = [{ jobId: 'j', index: 0, runId }];
+      const runs = { holder: 'a', finished: [], failed: [], returned: [] };
+      jobs.apply({ type: 'commitRuns', atMs: 0, ...runs, crashed }, 2);
+      const expected = runId === 'first' ? [0, 1] : [1];
+      t.deepEqual(grantAt(SETTLED_MS), expected, `after the ${runId} end`);
+      dispenser.release('a', [
+        { jobId: 'j', index: 0 },
+        { jobId: 'j', index: 1 },
+      ]);
+    }
+    t.deepEqual(grantAt(SETTLED_MS + 3999), [1]);
+    t.deepEqual(grantAt(SETTLED_MS + 4000), [0]);
+  });
+
   test(title('hands out nothing until the holders could tell a new leader what they have'), (t) => {
     const jobs = jobsOf([{ jobId: 'j', atMs: 0, items: 1 }]);
     const dispenser = new ItemDispenser({ leaseMs: LEASE_MS });
