Soak: callers whose content ends its endpoints

Each of N callers sends its content every 0.3 s at any entry, beside all other faults; promise: after three ends it runs at most three times more after 3 s, in calm.

--- a/packages/soak/src/endpoint-set.ts
+++ b/packages/soak/src/endpoint-set.ts
@@ -11,6 +11,8 @@
 
 /** Time that a leaving endpoint still serves. */
 const LEAVE_SERVES_MS = 3500;
+/** Time until an endpoint is back that ended under a content. */
+const CONTENT_CRASH_MS = 1000;
 const PORT = 8080;
 /** Endpoints live above the processes and their relays. */
 const FIRST_HOST = 200;
@@ -81,6 +83,11 @@
       onRun: (requestId) => {
         this.options.ledger.ran(requestId, runName, this.options.nowMs());
       },
+      onCrash: (content) => {
+        if (this.endpoints.get(name)?.runName !== runName) return;
+        this.options.ledger.crashed(content, this.options.nowMs());
+        void this.crash(name, CONTENT_CRASH_MS);
+      },
     });
     this.endpoints.set(name, endpoint);
     this.options.heartbeats.add(endpoint);
@@ -90,6 +97,8 @@
   async crash(name: string, forMs: number): Promise<void> {
     const endpoint = this.endpoints.get(name);
     if (endpoint === undefined) return;
+    // It may be struck again while it is down.
+    this.endpoints.delete(name);
     this.options.heartbeats.remove(endpoint.endpointId);
     await this.end(name, endpoint);
     await pause(forMs);
@@ -123,6 +132,8 @@
       await this.options.heartbeats.beat(endpoint, true);
       await pause(HEARTBEAT_MS);
     }
+    if (this.endpoints.get(name) !== endpoint) return;
+    this.endpoints.delete(name);
     await this.end(name, endpoint);
     await this.start(name, this.runCount % 2 === 0 ? endpoint.endpointId : undefined);
   }
--- a/packages/soak/src/expected.ts
+++ b/packages/soak/src/expected.ts
@@ -25,3 +25,6 @@
   );
   return pieces.join('\n');
 }
+
+/** Contents that begin so end the endpoint that runs them. */
+export const CRASHER_PREFIX = 'crasher-';
--- a/packages/soak/src/fleet-wire.ts
+++ b/packages/soak/src/fleet-wire.ts
@@ -11,6 +11,8 @@
   readonly requestId: string;
   readonly kind: RequestKind;
   readonly timeoutMs: number;
+  /** What is asked, in path and body; its own id where it is left out. */
+  readonly content?: string;
 }
 
 /** A job of a caller. */
@@ -54,6 +56,8 @@
   readonly port: number;
   /** Told when it begins to run a request. */
   readonly onRun: (requestId: string) => void;
+  /** Told when a run is to end it: that of a content that begins with `CRASHER_PREFIX`. */
+  readonly onCrash: (content: string) => void;
 }
 
 /** The form in which a fleet is spoken to. */
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -36,6 +36,8 @@
   readonly entry: string;
   readonly kind: RequestKind;
   readonly atMs: number;
+  /** What is asked, where that is known to end its endpoints. */
+  readonly crasher?: string;
 }
 
 /** Options of {@link Ledger}. */
@@ -47,6 +49,10 @@
 /** Time within which an acknowledged configuration, leave or end is obeyed. */
 const OBEY_WITHIN_MS = 2500;
 const CANCEL_WITHIN_MS = 3000;
+/** Ends of endpoints after which a content must be held back, within this time but for as many runs. */
+const ENDS_TO_HOLD = 3;
+const HOLD_WITHIN_MS = 3000;
+const MOST_LATE_RUNS = 3;
 
 /**
  * Promises that name a time: a machine that is much too busy may break them by itself. All others
@@ -56,6 +62,7 @@
   'nothing is cut in calm',
   'leaving endpoints get no work',
   'ended jobs stop',
+  'what ends endpoints is held back',
   'service comes back',
   'accepted items complete',
   'configurations are readable',
@@ -69,6 +76,13 @@
   end?: RequestEnd;
   endedAtMs?: number;
   readonly ranAtMs: number[];
+  readonly crasher: string | undefined;
+}
+
+/** A content that ends its endpoints. */
+interface CrasherNote {
+  readonly endsAtMs: number[];
+  lateRuns: number;
 }
 
 interface JobNote {
@@ -88,6 +102,7 @@
   private readonly leftAtMs = new Map<string, number>();
   private readonly acknowledged: { version: number; atMs: number }[] = [];
   private readonly contents = new Map<number, string>();
+  private readonly crashers = new Map<string, CrasherNote>();
 
   constructor(options: LedgerOptions) {
     this.options = options;
@@ -95,8 +110,8 @@
 
   /** A caller sends a request. */
   sent(requestId: string, sending: Sending): void {
-    const { entry, kind, atMs } = sending;
-    this.requests.set(requestId, { entry, kind, sentAtMs: atMs, ranAtMs: [] });
+    const { entry, kind, atMs, crasher } = sending;
+    this.requests.set(requestId, { entry, kind, sentAtMs: atMs, ranAtMs: [], crasher });
   }
 
   /** A request ended for its caller. */
@@ -112,7 +127,8 @@
     const wasRead = note.ranAtMs.length > 0;
     const isCut = end.kind === 'cut' || (end.kind === 'failed' && end.status >= 500);
     const concerns: Concerns = (target) => target === note.entry || target.startsWith('endpoint');
-    if (isCut && wasRead && this.options.isCalm(note.sentAtMs, atMs, concerns)) {
+    const isCalm = !this.hasCrashed(note.sentAtMs, atMs);
+    if (isCut && wasRead && isCalm && this.options.isCalm(note.sentAtMs, atMs, concerns)) {
       this.broken('nothing is cut in calm', atMs, `${requestId} ${JSON.stringify(end)}`);
     }
   }
@@ -146,11 +162,20 @@
     }
     if (note !== undefined) {
       note.ranAtMs.push(atMs);
+      if (note.crasher !== undefined) this.crasherRan(note.crasher, atMs);
       return;
     }
     this.itemRan(requestId, atMs);
   }
 
+  /** An endpoint ended under a content. */
+  crashed(crasher: string, atMs: number): void {
+    this.count('endpoints ended under a content');
+    const note = this.crashers.get(crasher) ?? { endsAtMs: [], lateRuns: 0 };
+    note.endsAtMs.push(atMs);
+    this.crashers.set(crasher, note);
+  }
+
   /** An endpoint's leave was acknowledged. */
   left(endpointId: string, atMs: number): void {
     if (!this.leftAtMs.has(endpointId)) this.leftAtMs.set(endpointId, atMs);
@@ -259,6 +284,22 @@
     this.breaks.push({ promise, atMs: Math.round(atMs), detail });
   }
 
+  private hasCrashed(fromMs: number, untilMs: number): boolean {
+    const ends = [...this.crashers.values()].flatMap(({ endsAtMs }) => endsAtMs);
+    return ends.some((endMs) => endMs >= fromMs && endMs <= untilMs);
+  }
+
+  private crasherRan(crasher: string, atMs: number): void {
+    const note = this.crashers.get(crasher);
+    const lastEndMs = note?.endsAtMs[ENDS_TO_HOLD - 1] ?? Infinity;
+    const isLate = atMs > lastEndMs + HOLD_WITHIN_MS;
+    if (note === undefined || !isLate) return;
+    if (!this.options.isCalm(atMs - HOLD_WITHIN_MS, atMs, () => true)) return;
+    note.lateRuns += 1;
+    if (note.lateRuns !== MOST_LATE_RUNS + 1) return;
+    this.broken('what ends endpoints is held back', atMs, crasher);
+  }
+
   private itemRan(itemId: string, atMs: number): void {
     const jobId = this.jobOfItem.get(itemId);
     if (jobId === undefined) {
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -5,7 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { pick, seededRandom } from '@shedline/test-utils';
 import type { RandomSource } from '@shedline/test-utils';
-import { POISON_PREFIX } from './expected.js';
+import { CRASHER_PREFIX, POISON_PREFIX } from './expected.js';
 import type { FleetWire, SoakCaller, SoakEndpoint } from './fleet-wire.js';
 import type { Ledger, RequestKind } from './ledger.js';
 import type { Place } from './process-set.js';
@@ -25,6 +25,8 @@
 const CHALLENGES = 4;
 /** Time after an acknowledgement from which every process must know a configuration. */
 const IN_FORCE_MS = 2000;
+/** Time between two attempts of a caller whose content ends endpoints. */
+const CRASHER_PAUSE_MS = 300;
 const KINDS: readonly RequestKind[] = ['resumable', 'once', 'repeatable'];
 
 /** Options of {@link SoakLoad}. */
@@ -42,6 +44,8 @@
    * do: what is lost does not make the load smaller.
    */
   readonly pacedPerS?: number;
+  /** Callers that send, again and again, a content of their own that ends its endpoint. */
+  readonly crashers?: number;
 }
 
 /** Everything that uses the fleet in one run. */
@@ -67,7 +71,8 @@
   start(): void {
     for (let caller = 0; caller < CALLERS; caller += 1) this.loops.push(this.callerLoop());
     this.loops.push(this.jobLoop(), this.operatorLoop(), this.configurationReadLoop());
-    const { pacedPerS = 0 } = this.options;
+    const { pacedPerS = 0, crashers = 0 } = this.options;
+    for (let index = 0; index < crashers; index += 1) this.loops.push(this.crasherLoop(index));
     if (pacedPerS > 0) this.loops.push(this.pacedLoop(1000 / pacedPerS));
   }
 
@@ -150,10 +155,23 @@
     await Promise.all(open);
   }
 
-  private async requestAlone(entry: Place, kind: RequestKind): Promise<boolean> {
+  /** The same content under a new id each time, at any entry. */
+  private async crasherLoop(index: number): Promise<void> {
+    const content = `${CRASHER_PREFIX}${this.options.seed}-${index}`;
+    const kind = KINDS[index % KINDS.length] ?? 'once';
+    const open: Promise<unknown>[] = [];
+    while (!this.stopped) {
+      const usable = this.options.usableEntries();
+      if (usable.length > 0) open.push(this.requestAlone(pick(this.random, usable), kind, content));
+      await pause(CRASHER_PAUSE_MS);
+    }
+    await Promise.all(open);
+  }
+
+  private async requestAlone(entry: Place, kind: RequestKind, crasher?: string): Promise<boolean> {
     const caller = this.options.wire.openCaller(entry);
     try {
-      return await this.request(caller, entry, kind);
+      return await this.request(caller, entry, kind, crasher);
     } finally {
       await caller.close();
     }
@@ -167,11 +185,18 @@
     caller: SoakCaller,
     { name: entry }: Place,
     kind: RequestKind,
+    crasher?: string,
   ): Promise<boolean> {
     const { ledger, nowMs } = this.options;
     const requestId = this.newId('q');
-    ledger.sent(requestId, { entry, kind, atMs: nowMs() });
-    const end = await caller.send({ requestId, kind, timeoutMs: REQUEST_TIMEOUT_MS });
+    const asked = crasher === undefined ? {} : { content: crasher };
+    ledger.sent(requestId, {
+      entry,
+      kind,
+      atMs: nowMs(),
+      ...(crasher === undefined ? {} : { crasher }),
+    });
+    const end = await caller.send({ requestId, kind, timeoutMs: REQUEST_TIMEOUT_MS, ...asked });
     ledger.ended(requestId, end, nowMs());
     return end.kind === 'complete';
   }
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -48,6 +48,8 @@
   readonly peerPortOf: (role: Role) => number;
   /** Times that all open connections go silent; with any, relays stand before endpoints too. */
   readonly silences?: number;
+  /** Callers whose content ends each endpoint that runs it. */
+  readonly crashers?: number;
 }
 
 /** Outcome of a run. */
@@ -144,6 +146,7 @@
       controls: this.ofRole('control'),
       nowMs: () => this.nowMs(),
       usableEntries: () => this.usableEntries(),
+      crashers: options.crashers ?? 0,
       pacedPerS: (options.silences ?? 0) > 0 ? PACED_PER_S : 0,
     });
   }
