--- a/packages/soak/src/endpoint-set.ts
+++ b/packages/soak/src/endpoint-set.ts
@@ -6,8 +6,8 @@
 import type { FleetWire, SoakEndpoint } from './fleet-wire.js';
 import type { Ledger } from './ledger.js';
 import { Relay, UNHARMED } from './relay.js';
-import { HEARTBEAT_MS } from './soak-load.js';
-import type { Heartbeats } from './soak-load.js';
+import { HEARTBEAT_MS } from './heartbeats.js';
+import type { Heartbeats } from './heartbeats.js';
 
 /** Time that a leaving endpoint still serves. */
 const LEAVE_SERVES_MS = 3500;
--- a/packages/soak/src/ledger.test.ts
+++ b/packages/soak/src/ledger.test.ts
@@ -111,4 +111,30 @@
       'only what was asked for runs',
     ]);
   });
+
+  test(
+    title('finds a content that ends endpoint after endpoint, but only where it is calm'),
+    (t) => {
+      const runsAfterThreeEnds = (one: Ledger, runs: number): Ledger => {
+        for (const atMs of [0, 100, 200]) one.crashed('c', atMs);
+        for (let run = 0; run < runs; run += 1) {
+          one.sent(`q${run}`, { entry: 'entry-1', kind: 'once', atMs: 3200 + run, crasher: 'c' });
+          one.ran(`q${run}`, 'e', 3201 + run);
+        }
+        return one;
+      };
+      t.deepEqual(promises(runsAfterThreeEnds(ledger(), 3)), []);
+      t.deepEqual(promises(runsAfterThreeEnds(ledger(), 9)), ['what ends endpoints is held back']);
+      t.deepEqual(promises(runsAfterThreeEnds(ledger(false), 9)), []);
+    },
+  );
+
+  test(title('does not call a request cut in calm whose endpoint ended under a content'), (t) => {
+    const one = ledger();
+    one.sent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
+    one.ran('q', 'e', 1);
+    one.crashed('c', 50);
+    one.ended('q', { kind: 'failed', status: 502 }, 51);
+    t.deepEqual(promises(one), []);
+  });
 });
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -2,6 +2,7 @@
  * Keeps the promises of the system: what callers, operators and endpoints saw goes in, breaks
  * come out. It knows nothing of faults but whether a span of time was calm.
  */
+import { CrasherNotes } from './crasher-notes.js';
 import { POISON_PREFIX, wholeText } from './expected.js';
 import type { Concerns } from './fault-plan.js';
 
@@ -49,10 +50,6 @@
 /** Time within which an acknowledged configuration, leave or end is obeyed. */
 const OBEY_WITHIN_MS = 2500;
 const CANCEL_WITHIN_MS = 3000;
-/** Ends of endpoints after which a content must be held back, within this time but for as many runs. */
-const ENDS_TO_HOLD = 3;
-const HOLD_WITHIN_MS = 3000;
-const MOST_LATE_RUNS = 3;
 
 /**
  * Promises that name a time: a machine that is much too busy may break them by itself. All others
@@ -79,12 +76,6 @@
   readonly crasher: string | undefined;
 }
 
-/** A content that ends its endpoints. */
-interface CrasherNote {
-  readonly endsAtMs: number[];
-  lateRuns: number;
-}
-
 interface JobNote {
   readonly itemIds: readonly string[];
   readonly listed: Map<number, ListedResult>;
@@ -102,7 +93,7 @@
   private readonly leftAtMs = new Map<string, number>();
   private readonly acknowledged: { version: number; atMs: number }[] = [];
   private readonly contents = new Map<number, string>();
-  private readonly crashers = new Map<string, CrasherNote>();
+  private readonly crashers = new CrasherNotes();
 
   constructor(options: LedgerOptions) {
     this.options = options;
@@ -127,7 +118,7 @@
     const wasRead = note.ranAtMs.length > 0;
     const isCut = end.kind === 'cut' || (end.kind === 'failed' && end.status >= 500);
     const concerns: Concerns = (target) => target === note.entry || target.startsWith('endpoint');
-    const isCalm = !this.hasCrashed(note.sentAtMs, atMs);
+    const isCalm = !this.crashers.hasEnded(note.sentAtMs, atMs);
     if (isCut && wasRead && isCalm && this.options.isCalm(note.sentAtMs, atMs, concerns)) {
       this.broken('nothing is cut in calm', atMs, `${requestId} ${JSON.stringify(end)}`);
     }
@@ -171,9 +162,7 @@
   /** An endpoint ended under a content. */
   crashed(crasher: string, atMs: number): void {
     this.count('endpoints ended under a content');
-    const note = this.crashers.get(crasher) ?? { endsAtMs: [], lateRuns: 0 };
-    note.endsAtMs.push(atMs);
-    this.crashers.set(crasher, note);
+    this.crashers.ended(crasher, atMs);
   }
 
   /** An endpoint's leave was acknowledged. */
@@ -284,19 +273,9 @@
     this.breaks.push({ promise, atMs: Math.round(atMs), detail });
   }
 
-  private hasCrashed(fromMs: number, untilMs: number): boolean {
-    const ends = [...this.crashers.values()].flatMap(({ endsAtMs }) => endsAtMs);
-    return ends.some((endMs) => endMs >= fromMs && endMs <= untilMs);
-  }
-
   private crasherRan(crasher: string, atMs: number): void {
-    const note = this.crashers.get(crasher);
-    const lastEndMs = note?.endsAtMs[ENDS_TO_HOLD - 1] ?? Infinity;
-    const isLate = atMs > lastEndMs + HOLD_WITHIN_MS;
-    if (note === undefined || !isLate) return;
-    if (!this.options.isCalm(atMs - HOLD_WITHIN_MS, atMs, () => true)) return;
-    note.lateRuns += 1;
-    if (note.lateRuns !== MOST_LATE_RUNS + 1) return;
+    const isCalm = (fromMs: number): boolean => this.options.isCalm(fromMs, atMs, () => true);
+    if (!this.crashers.ran(crasher, atMs, isCalm)) return;
     this.broken('what ends endpoints is held back', atMs, crasher);
   }
 
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -10,13 +10,14 @@
 import type { Fault, FaultKind, Role } from './fault-plan.js';
 import { EndpointSet } from './endpoint-set.js';
 import type { FleetWire } from './fleet-wire.js';
+import { Heartbeats } from './heartbeats.js';
 import { Ledger } from './ledger.js';
 import type { Break } from './ledger.js';
 import { ProcessSet } from './process-set.js';
 import type { Place } from './process-set.js';
 import { Relay, UNHARMED } from './relay.js';
 import type { Harm } from './relay.js';
-import { Heartbeats, SoakLoad } from './soak-load.js';
+import { SoakLoad } from './soak-load.js';
 
 const DELAY_MS = 120;
 /** Time that a fleet may take from power to its first configuration. */
