Good runs of contents that were never blamed are not noted as clearances

Found while reading the change: each good run took a place among the 512 clearances that an entry remembers, so that one could be pushed out within seconds and late news of an older state taken again. The new test failed before (the late record was taken), passes now.

--- a/packages/quarantine/src/known-crashes.ts
+++ b/packages/quarantine/src/known-crashes.ts
@@ -105,10 +105,10 @@
 
   /** Notes that an endpoint lived through a run; true where the content was blamed for something. */
   survived(contentKey: string): boolean {
-    const isKnown = this.own.has(contentKey) || this.records.has(contentKey);
+    if (!this.own.has(contentKey) && !this.records.has(contentKey)) return false;
     this.own.delete(contentKey);
     this.clear(contentKey, this.changeKnownOf(contentKey));
-    return isKnown;
+    return true;
   }
 
   private changeKnownOf(contentKey: string): number {
--- a/packages/quarantine/src/quarantine.test.ts
+++ b/packages/quarantine/src/quarantine.test.ts
@@ -136,6 +136,18 @@
     t.true(known.isEmpty);
   });
 
+  test(title('good runs of contents that were never blamed push no clearance out'), (t) => {
+    const records = new CrashRecords();
+    const follower = new Follower();
+    records.apply(crashed('c', 0));
+    const late = records.changesSince(0);
+    follower.follow(records);
+    t.true(follower.known.survived('c'));
+    for (let run = 0; run < 1000; run += 1) t.false(follower.known.survived(`good ${run}`));
+    follower.known.take(late);
+    t.true(follower.known.isEmpty);
+  });
+
   test(title('forgets one end after an hour, and late news after a clearance'), (t) => {
     const records = new CrashRecords();
     const follower = new Follower();
