Keys and jobs of workspaces on the path of callers

Cause: the configuration's workspaces were accepted and nothing of them obeyed: no key was asked for, the caller's X-Tenant and its key reached the endpoint, jobs belonged to nobody. Change: the configuration carries workspaces with digests of their keys; a caller is let in by its key before its body is read (401, or 503 where this entry may be behind); the workspace of the key is all that an endpoint hears, items included; jobs, their results and their bound on waiting tokens belong to a workspace and a route; a workspace's rank goes before the route's. A shared key makes a configuration invalid; no line quotes text that may hold keys.

--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -131,7 +131,7 @@
     const time = { nowMs: this.options.nowMs(), wallMs: Date.now() };
     const granted = dispenser.grant(jobs, request, time);
     const items = granted.items.map(({ job, index, progress }) => {
-      const { jobId, host: jobHost, path } = job.identity;
+      const { jobId, host: jobHost, path, workspace } = job.identity;
       const { dueAtMs } = job;
       const item = job.item(index);
       return {
@@ -139,6 +139,7 @@
         index,
         host: jobHost,
         path,
+        ...(workspace === undefined ? {} : { workspace }),
         dueAtMs,
         item,
         ...(progress === undefined ? {} : { progress }),
--- a/packages/fleet-control/src/protocol.ts
+++ b/packages/fleet-control/src/protocol.ts
@@ -34,6 +34,8 @@
   readonly index: number;
   readonly host: string;
   readonly path: string;
+  /** Workspace as which it runs; undefined where its route asks for no key. */
+  readonly workspace?: string;
   /** Wall clock at which its job is due. */
   readonly dueAtMs: number;
   readonly item: SubmittedItem;
@@ -44,7 +46,7 @@
 /** Answer to a request for items. */
 export interface GrantAnswer {
   readonly items: readonly GrantedItem[];
-  /** Items under the quota key that still wait for a holder. */
+  /** Items of the route that still wait for a holder. */
   readonly waitingItems: number;
 }
 
--- a/packages/fleet/src/configuration.ts
+++ b/packages/fleet/src/configuration.ts
@@ -2,6 +2,8 @@
  * The configuration document of a fleet: routes from hosts and paths to services, the services,
  * and the limits on what callers may send.
  */
+import { workspaceProblem } from './workspace.js';
+import type { Workspace } from './workspace.js';
 
 /**
  * What a route carries. `idempotent` requests may run more than once; `once` requests and
@@ -48,6 +50,8 @@
   /** Longest pause between the events of a stream that is on time. */
   readonly longestPauseMs: number;
   readonly jobs?: JobRules;
+  /** Whether callers need no API key; left out by earlier programs. */
+  readonly isPublic?: boolean;
 }
 
 /** One service. */
@@ -75,6 +79,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Undefined: nobody needs an API key. An empty list lets nobody in but on public routes. */
+  readonly workspaces?: readonly Workspace[];
 }
 
 /** Why a configuration cannot be in force; undefined where it can. */
@@ -88,7 +94,7 @@
     if (places.has(place)) return `route ${route.name}: another route has the same host and prefix`;
     places.add(place);
   }
-  return undefined;
+  return workspaceProblem(configuration.workspaces ?? []);
 }
 
 function routeProblem(route: Route, services: ReadonlySet<string>): string | undefined {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,3 +7,4 @@
 export * from './fleet-state.js';
 export * from './known-fleet.js';
 export * from './route-table.js';
+export * from './workspace.js';
--- a/packages/fleet/src/route-table.ts
+++ b/packages/fleet/src/route-table.ts
@@ -1,17 +1,28 @@
 /**
- * Finds the route of a request in the configuration in force.
+ * Finds the route and the workspace of a request in the configuration in force.
  */
 import type { Configuration, Route } from './configuration.js';
+import { WorkspaceTable } from './workspace.js';
+import type { Workspace } from './workspace.js';
+
+/** As whom a request is let in; `anyone`: no key is asked for. */
+export type Access =
+  | { readonly kind: 'anyone' }
+  | { readonly kind: 'workspace'; readonly workspace: Workspace }
+  | { readonly kind: 'refused'; readonly reason: 'no key' | 'unknown key' };
 
 /** Routes of one configuration, by host. */
 export class RouteTable {
   readonly version: number;
   readonly configuration: Configuration;
   private readonly byHost = new Map<string, Route[]>();
+  private readonly workspaces: WorkspaceTable | undefined;
 
   constructor(configuration: Configuration) {
     this.version = configuration.version;
     this.configuration = configuration;
+    const { workspaces } = configuration;
+    this.workspaces = workspaces === undefined ? undefined : new WorkspaceTable(workspaces);
     for (const route of configuration.routes) {
       const routes = this.byHost.get(route.host) ?? [];
       routes.push(route);
@@ -28,6 +39,20 @@
     return this.byHost.get(hostName(host))?.find((route) => path.startsWith(route.pathPrefix));
   }
 
+  /** Whether callers show API keys. */
+  get usesKeys(): boolean {
+    return this.workspaces !== undefined;
+  }
+
+  /** As whom a caller with this key may use a route. */
+  access(route: Route, apiKey: string | undefined): Access {
+    if (this.workspaces === undefined || route.isPublic === true) return { kind: 'anyone' };
+    if (apiKey === undefined) return { kind: 'refused', reason: 'no key' };
+    const workspace = this.workspaces.findByKey(apiKey);
+    if (workspace === undefined) return { kind: 'refused', reason: 'unknown key' };
+    return { kind: 'workspace', workspace };
+  }
+
   /** Routes of a host that take batch jobs. */
   jobRoutes(host: string): Route[] {
     return (this.byHost.get(hostName(host)) ?? []).filter((route) => route.kind === 'jobs');
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -57,6 +57,8 @@
   readonly request: CallerRequest;
   readonly route: Route;
   readonly service: string;
+  /** 0 is the most urgent; that of the workspace goes before that of the route. */
+  readonly rank: number;
   /** Version of the configuration that chose the route, for the log. */
   readonly version: number;
   /** End of the time that the request has, on the clock of `nowMs`. */
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -121,14 +121,14 @@
   /** Waits for its turn; undefined where the request cannot be served in its time. */
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
     const { nowMs } = this.options;
-    const { service, route, request, deadlineMs, firstAskedAtMs } = this.task;
+    const { service, rank, route, request, deadlineMs, firstAskedAtMs } = this.task;
     const sinceMs = nowMs();
     this.place = this.queue.enter({
       service,
       tried: this.tried,
       // Where every endpoint was tried, one that refused may have room by now.
       mayRepeat: !this.plan.isInDoubt,
-      rank: route.rank,
+      rank,
       onTimeUntilMs: this.headSent
         ? sinceMs + route.longestPauseMs
         : firstAskedAtMs + route.targetMs,
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -130,6 +130,7 @@
     request: { requestId: 'q', method: 'POST', path: '/', headers: [], body: Buffer.alloc(0) },
     route: ROUTE,
     service: 's',
+    rank: 0,
     version: 1,
     deadlineMs: 5000,
     firstAskedAtMs: 0,
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -16,6 +16,8 @@
   /** Headers that concern the whole way, unchanged. */
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Workspace whose key the caller showed; undefined where no key is asked for. */
+  readonly workspace?: string;
   /** Event after which the caller wants the stream to go on. */
   readonly resumeAfterEventId?: string;
   /** Parts of its prompt as the caller lists them. */
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -203,6 +203,7 @@
       request: { requestId, method: 'POST', path, headers: [], body: Buffer.from('b') },
       route: { ...ROUTE, ...route },
       service: 's',
+      rank: 0,
       version: 1,
       deadlineMs: nowMs + DEADLINE_MS,
       firstAskedAtMs: nowMs,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -5,7 +5,7 @@
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
 import type { Placed } from '@shedline/directory';
-import type { AgedHeartbeat, CallerLimits, FleetDelta, Route } from '@shedline/fleet';
+import type { AgedHeartbeat, CallerLimits, FleetDelta, RouteTable } from '@shedline/fleet';
 import { ProcessCore, portsOf } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
 import { ConnectionProbe, EndpointSender, Forwarder } from '@shedline/forwarding';
@@ -21,6 +21,7 @@
 import type { LoadCount } from './endpoint-pool.js';
 import { EntryLinks } from './entry-links.js';
 import { FleetFollower } from './fleet-follower.js';
+import { KeyCheck } from './key-check.js';
 import { ItemRunner } from './item-runner.js';
 import { JobDesk, jobGroupsOf } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
@@ -69,6 +70,7 @@
 export class GatewayProcess {
   readonly core: ProcessCore;
   readonly jobs: JobDesk;
+  readonly keys: KeyCheck;
   readonly metrics = new ProcessMetrics();
   private readonly settings: FleetSettings;
   private readonly logger: Logger;
@@ -180,6 +182,11 @@
       usersOf: (endpointId) => this.reach.batchUsersOf(endpointId),
       entryCount: () => this.reach.batchEntryCount,
     });
+    this.keys = new KeyCheck({
+      silentMs: () => this.follower.silentMs,
+      metrics: this.metrics,
+      logger,
+    });
     this.addGauges();
   }
 
@@ -224,14 +231,9 @@
     return chosen.flatMap((entry) => entry.callerAddress ?? []).slice(0, MAX_ADDRESSES);
   }
 
-  /** The route of a request; undefined where there is none, or no configuration yet. */
-  routeOf(host: string, path: string): Route | undefined {
-    return this.follower.fleet.routes?.find(host, path);
-  }
-
-  /** Whether a host takes batch jobs. */
-  hasJobs(host: string): boolean {
-    return (this.follower.fleet.routes?.jobRoutes(host).length ?? 0) > 0;
+  /** The routes in force here; undefined before the first configuration. */
+  get routes(): RouteTable | undefined {
+    return this.follower.fleet.routes;
   }
 
   /** Holds a caller's request while the entry starts; gives the time that it was held. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,4 +4,5 @@
 export * from './gateway-process.js';
 export * from './request-intake.js';
 export * from './job-desk.js';
+export * from './key-check.js';
 export * from './endpoint-pool.js';
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -113,8 +113,9 @@
 }
 
 function callerRequestOf(granted: GrantedItem): CallerRequest {
-  const { item, host } = granted;
+  const { item, host, workspace } = granted;
   return {
+    ...(workspace === undefined ? {} : { workspace }),
     requestId: item.itemId,
     method: 'POST',
     path: item.path,
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -15,7 +15,7 @@
 import type { CommitRuns, ItemRef, ItemRequest, ReturnedItem } from '@shedline/whole-jobs';
 import { EndpointPool } from './endpoint-pool.js';
 import { ItemRunner } from './item-runner.js';
-import { quotaKeyOf } from './job-desk.js';
+import { routeKeyOf } from './job-desk.js';
 
 const HOST = 'host.example';
 const PREFIX = '/jobs/';
@@ -58,7 +58,7 @@
         jobId: 'job',
         host: HOST,
         path: `${PREFIX}1`,
-        quotaKey: quotaKeyOf(ROUTE),
+        quotaKey: routeKeyOf(ROUTE),
         maxWaitingTokens: 0,
         resultsDueMs: 18_000,
         keepItemsMs: 60_000,
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -15,7 +15,7 @@
 import type { EndWatch } from './end-watch.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import { ItemRun } from './item-run.js';
-import { jobGroupOf, quotaKeyOf } from './job-desk.js';
+import { jobGroupOf, routeKeyOf } from './job-desk.js';
 import { RunReporter } from './run-reporter.js';
 
 /** Time between looks at the slots. */
@@ -64,7 +64,7 @@
   readonly entryCount: () => number;
 }
 
-/** What is known of the jobs under one quota key. */
+/** What is known of the jobs of one route. */
 interface RouteState {
   askedAtMs: number;
   isAsking: boolean;
@@ -205,7 +205,7 @@
   }
 
   private stateOf(route: Route): RouteState {
-    const key = quotaKeyOf(route);
+    const key = routeKeyOf(route);
     const known = this.routes.get(key);
     if (known !== undefined) return known;
     const fresh = {
@@ -226,7 +226,7 @@
     if (isEarly || state.isAsking || this.draining || fleet.storeCluster === undefined) return;
     const group = jobGroupOf(route.host, fleet.storeCluster.jobGroupCount);
     const { runMs, runEvents } = state;
-    const body = { holder, quotaKey: quotaKeyOf(route), maxItems, runMs, runEvents };
+    const body = { holder, routeKey: routeKeyOf(route), maxItems, runMs, runEvents };
     state.isAsking = true;
     try {
       const raw = await stores.call('grantItems', group, { group, body }, ASK_TIMEOUT_MS);
--- a/packages/gateway/src/job-desk.ts
+++ b/packages/gateway/src/job-desk.ts
@@ -19,10 +19,16 @@
 /** Time of a submission that is left for the answer to travel. */
 const SUBMIT_MARGIN_MS = 300;
 
-/** A job as a caller hands it in. */
-export interface JobRequest {
-  readonly jobId: string;
+/** A job as a caller names it: the same id means another job in another workspace. */
+export interface JobName {
   readonly host: string;
+  readonly jobId: string;
+  /** Workspace of the caller; undefined where no key is asked for. */
+  readonly workspace: string | undefined;
+}
+
+/** A job as a caller hands it in. */
+export interface JobRequest extends JobName {
   readonly path: string;
   readonly items: readonly SubmittedItem[];
   /** Time that the caller waits for the answer. */
@@ -45,11 +51,25 @@
   readonly logger: Logger;
 }
 
-/** Names the jobs that share a bound on waiting tokens. */
-export function quotaKeyOf(route: Route): string {
+/** Names a route to the stores: entries ask for its items by it. */
+export function routeKeyOf(route: Route): string {
   return `${route.host}${route.pathPrefix}`;
 }
 
+/** Names the jobs that share a bound on waiting tokens: those of a workspace on a route. */
+function quotaKeyOf(route: Route, workspace: string | undefined): string {
+  const key = routeKeyOf(route);
+  return workspace === undefined ? key : `${encodeURIComponent(workspace)}@${key}`;
+}
+
+/**
+ * Names a job to the stores. Whoever shows the key of another workspace asks for another name, and
+ * so learns nothing, not even that the job exists.
+ */
+export function storedJobId({ workspace, jobId }: Omit<JobName, 'host'>): string {
+  return workspace === undefined ? jobId : `${encodeURIComponent(workspace)}/${jobId}`;
+}
+
 /** Jobs of one host are in one group, so that one leader keeps their bound exactly. */
 export function jobGroupOf(host: string, groupCount: number): number {
   return groupOf(`jobs|${hostName(host)}`, groupCount);
@@ -74,7 +94,8 @@
 
   /** Hands a job to the stores; accepted means that a quorum of them has synced it. */
   async submit(request: JobRequest, route: Route): Promise<SubmitOutcome> {
-    const { jobId, host, path, items } = request;
+    const { host, path, items, workspace } = request;
+    const jobId = storedJobId(request);
     if (items.length === 0 || items.length > MAX_ITEMS) {
       return { kind: 'invalid', message: `a job has 1 to ${MAX_ITEMS} items` };
     }
@@ -84,7 +105,9 @@
       jobId,
       host,
       path,
-      quotaKey: quotaKeyOf(route),
+      routeKey: routeKeyOf(route),
+      quotaKey: quotaKeyOf(route, workspace),
+      ...(workspace === undefined ? {} : { workspace }),
       maxWaitingTokens: rules.maxWaitingTokens,
       resultsDueMs: rules.resultsDueMs,
       keepItemsMs: rules.keepItemsMs,
@@ -94,7 +117,8 @@
     const reason = outcome.kind === 'refused' ? outcome.reason : undefined;
     this.options.logger.info('job submitted', {
       step: 'submit',
-      request: jobId,
+      request: request.jobId,
+      ...(workspace === undefined ? {} : { workspace }),
       route: route.name,
       items: items.length,
       outcome: outcome.kind,
@@ -104,29 +128,34 @@
   }
 
   /** Results from a position on; undefined where there is no such job. */
-  async results(options: {
-    readonly host: string;
-    readonly jobId: string;
-    readonly position: number;
-    readonly waitMs: number;
-  }): Promise<ResultsAnswer> {
-    const { host, jobId, position, waitMs } = options;
-    const body = { jobId, position, waitMs, maxBytes: MAX_PAGE_BYTES };
-    return (await this.call('jobResults', host, body, waitMs + CALL_TIMEOUT_MS)) as ResultsAnswer;
+  async results(
+    job: JobName,
+    { position, waitMs }: { readonly position: number; readonly waitMs: number },
+  ): Promise<ResultsAnswer> {
+    const body = { jobId: storedJobId(job), position, waitMs, maxBytes: MAX_PAGE_BYTES };
+    return (await this.call(
+      'jobResults',
+      job.host,
+      body,
+      waitMs + CALL_TIMEOUT_MS,
+    )) as ResultsAnswer;
   }
 
   /** Body of an item; undefined where there is none. */
-  async body(host: string, jobId: string, itemId: string): Promise<Uint8Array | undefined> {
-    const answer = await this.call('itemBody', host, { jobId, itemId }, CALL_TIMEOUT_MS);
+  async body(job: JobName, itemId: string): Promise<Uint8Array | undefined> {
+    const body = { jobId: storedJobId(job), itemId };
+    const answer = await this.call('itemBody', job.host, body, CALL_TIMEOUT_MS);
     return (answer as BodyAnswer).body;
   }
 
   /** Ends a job. */
-  async end(host: string, jobId: string): Promise<EndAnswer> {
-    const answer = (await this.call('endJob', host, { jobId }, CALL_TIMEOUT_MS)) as EndAnswer;
+  async end(job: JobName): Promise<EndAnswer> {
+    const body = { jobId: storedJobId(job) };
+    const answer = (await this.call('endJob', job.host, body, CALL_TIMEOUT_MS)) as EndAnswer;
     this.options.logger.info('job ended by its caller', {
       step: 'end job',
-      request: jobId,
+      request: job.jobId,
+      ...(job.workspace === undefined ? {} : { workspace: job.workspace }),
       outcome: answer.outcome,
     });
     return answer;
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -4,7 +4,7 @@
  */
 import { CallerPatience } from '@shedline/admission';
 import { chooseService } from '@shedline/fleet';
-import type { KnownFleet, Route } from '@shedline/fleet';
+import type { KnownFleet, Route, Workspace } from '@shedline/fleet';
 import type { AnswerSink, CallerRequest, Forwarder } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { ProcessMetrics } from '@shedline/metrics';
@@ -19,6 +19,8 @@
 export interface IncomingRequest {
   readonly caller: CallerRequest;
   readonly host: string;
+  /** As whom it was let in; undefined where no key is asked for. */
+  readonly workspace: Workspace | undefined;
   /** Time that the caller waits, from when it asked; undefined where it does not say. */
   readonly timeLeftMs: number | undefined;
   /** Time since it asked, as {@link GatewayProcess.untilStarted} told. */
@@ -54,7 +56,7 @@
 
   /** Forwards a request; its answer goes into the sink. */
   async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
-    const { caller, host, timeLeftMs, heldMs } = incoming;
+    const { caller, host, workspace, timeLeftMs, heldMs } = incoming;
     if (this.options.stop.isClosing) {
       this.refuseStopping(caller.requestId, sink);
       return;
@@ -73,6 +75,7 @@
         request: caller,
         route,
         service: chooseService(route, this.options.random()),
+        rank: workspace?.rank ?? route.rank,
         version: routes.version,
         deadlineMs: beganMs + limitMs,
         firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -25,6 +25,10 @@
   /** Host and path of the submission; they select the route of the items. */
   readonly host: string;
   readonly path: string;
+  /** Its items are asked for by this; left out by earlier programs, which asked by {@link quotaKey}. */
+  readonly routeKey?: string;
+  /** Workspace that it belongs to and runs as; undefined where its route asks for no key. */
+  readonly workspace?: string;
   /** Jobs with the same key share one bound on waiting tokens. */
   readonly quotaKey: string;
   /** 0 is no bound. */
--- a/packages/whole-jobs/src/item-dispenser.test.ts
+++ b/packages/whole-jobs/src/item-dispenser.test.ts
@@ -41,7 +41,7 @@
 }
 
 function request(maxItems: number, holder = 'a'): ItemRequest {
-  return { holder, quotaKey: 'key', maxItems, runMs: RUN_MS, runEvents: 100 };
+  return { holder, routeKey: 'key', maxItems, runMs: RUN_MS, runEvents: 100 };
 }
 
 describe('item dispenser', () => {
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -29,7 +29,8 @@
 /** Asks for items. */
 export interface ItemRequest {
   readonly holder: string;
-  readonly quotaKey: string;
+  /** Route whose items are wanted. */
+  readonly routeKey: string;
   readonly maxItems: number;
   /** Time that a whole item takes, as its holder sees it. */
   readonly runMs: number;
@@ -78,7 +79,7 @@
 /** What was handed out, and how much still waits. */
 export interface Dispensed {
   readonly items: readonly DispensedItem[];
-  /** Items under the quota key that nobody holds after this. */
+  /** Items of the route that nobody holds after this. */
   readonly unheldCount: number;
 }
 
@@ -165,7 +166,7 @@
   private unheldItems(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): UnheldItem[] {
     const unheld: UnheldItem[] = [];
     for (const job of jobs.all) {
-      if (!job.isOpen || job.identity.quotaKey !== request.quotaKey) continue;
+      if (!job.isOpen || job.routeKey !== request.routeKey) continue;
       const held = this.holdings.get(job.identity.jobId)?.held;
       const leftMs = job.dueAtMs - time.wallMs;
       const allowedMs = job.identity.resultsDueMs;
--- a/packages/whole-jobs/src/item-load.test.ts
+++ b/packages/whole-jobs/src/item-load.test.ts
@@ -133,7 +133,7 @@
   private fill(): void {
     const maxItems = SLOTS - this.taken.length - this.runs.length;
     if (maxItems <= 0) return;
-    const request = { holder: 'a', quotaKey: 'k', maxItems, runMs: RUN_MS, runEvents: EVENTS };
+    const request = { holder: 'a', routeKey: 'k', maxItems, runMs: RUN_MS, runEvents: EVENTS };
     const time = { nowMs: this.nowMs, wallMs: this.nowMs };
     for (const { job, index } of this.dispenser.grant(this.jobs, request, time).items) {
       const { jobId } = job.identity;
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -24,6 +24,10 @@
   readonly jobId: string;
   readonly host: string;
   readonly path: string;
+  /** Entries ask for its items by this. */
+  readonly routeKey?: string;
+  /** Undefined where its route asks for no key. */
+  readonly workspace?: string;
   readonly quotaKey: string;
   readonly maxAttempts: number;
   /** Wall clock of the leader that accepted it. */
@@ -90,7 +94,9 @@
   /** A job as it was submitted. */
   static submitted(command: SubmitJob, fileName: string, files: ItemFiles): JobRecord {
     const { jobId, host, path, quotaKey, maxAttempts, resultsDueMs, keepItemsMs } = command;
-    const rules = { quotaKey, maxAttempts, resultsDueMs, keepItemsMs };
+    const { routeKey = quotaKey, workspace } = command;
+    const owner = workspace === undefined ? {} : { workspace };
+    const rules = { routeKey, ...owner, quotaKey, maxAttempts, resultsDueMs, keepItemsMs };
     const submittedAtMs = command.atMs;
     const job = new JobRecord({ jobId, host, path, ...rules, submittedAtMs, fileName }, files);
     job.storeItems(command.items);
@@ -102,6 +108,11 @@
     return this.identity.submittedAtMs + this.identity.resultsDueMs;
   }
 
+  /** Entries ask for its items by this; jobs of earlier programs have their quota key only. */
+  get routeKey(): string {
+    return this.identity.routeKey ?? this.identity.quotaKey;
+  }
+
   /** Number of items. */
   get total(): number {
     return this.itemUnits.length;
