Quotas of workspaces over all entries

Cause: ratePerS and burst were accepted and not obeyed: 2,400 of 2,400 requests of a workspace passed whose limit is 40 a second. Change: one control process of the core keeps the count of a workspace (rendezvous hash). Entries let requests pass and tell of them after 50 ms; where a burst is half used up the keeper says so to all, and they ask first, for 1.5 s after its last word. A new keeper withholds the burst for 0.6 s, until entries have told what they let in before; one that has started with them for a window. An entry that reaches none has its part of the limit, or goes on as before. Over the limit: 429 at once, with the time until there is room, each refused caller its own place. What has not run is given back.

--- a/packages/config/src/fleet-schema.ts
+++ b/packages/config/src/fleet-schema.ts
@@ -61,6 +61,18 @@
   heartbeatMs: durationMs(1200, 'Time between the heartbeats of an endpoint.'),
   stopWithinS: durationS(8, 'Time from the request to stop to the end of the process.'),
   addressKeepS: durationS(1, 'Time for which callers keep an answer with addresses.'),
+  quotaWindowS: durationS(5, 'Length of the windows in which limits of workspaces are looked at.'),
+  quotaOvershootShare: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.1)
+    .describe('Share of a limit by which a window may hold more requests.'),
+  quotaSlack: z
+    .number()
+    .min(0)
+    .default(20)
+    .describe('Requests that a window may hold beyond that.'),
   jobRetentionS: durationS(300, 'Time for which a job that is over stays readable.'),
 });
 
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -21,14 +21,17 @@
 } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
-import type { PeerBook } from '@shedline/transport';
+import type { Link, PeerBook } from '@shedline/transport';
 import { EndpointMemory } from './endpoint-memory.js';
+import type { QuotaAsk, UsageReport } from '@shedline/quota';
 import { FleetGroup, FLEET_GROUP } from './machines.js';
 import { groupSettings } from './group-settings.js';
 import { portsOf } from './peer-ports.js';
 import { seedAddresses } from './ports.js';
 import { ProcessCore } from './process-core.js';
 import { StoreKeeper } from './store-keeper.js';
+import { QuotaKeeper } from './quota-keeper.js';
+import { quotaTolerance } from './quota-settings.js';
 import type { RetireOutcome, RetireProgress } from './store-keeper.js';
 import type { RefreshAnswer, RefreshRequest } from './protocol.js';
 
@@ -66,6 +69,7 @@
   private readonly groups: GroupNode | undefined;
   private readonly machine: FleetGroup;
   private readonly caller: LeaderCaller;
+  private readonly quotas: QuotaKeeper;
   /** Formation and retirement of stores. */
   readonly storeKeeper: StoreKeeper;
   /** Connections to the stores, made when one of them retires. */
@@ -87,8 +91,8 @@
       record: controlRecord(this.settings),
       handlers: {
         onRequest: (method, payload) => this.onRequest(method, payload),
-        onMessage: (method, payload) => {
-          this.onMessage(method, payload);
+        onMessage: (method, payload, link) => {
+          this.onMessage(method, payload, link);
         },
       },
     });
@@ -108,6 +112,7 @@
     });
     this.groups = this.createGroups(options.random ?? Math.random);
     this.caller = new LeaderCaller({ ports: () => this.ports(), maxAttemptMs: MAX_ATTEMPT_MS });
+    this.quotas = this.createQuotas();
     this.addGauges();
   }
 
@@ -119,6 +124,7 @@
     await this.core.listen();
     if (this.groups !== undefined) this.core.mesh.update({ memberId: this.groups.memberId });
     this.core.start();
+    this.quotas.start();
     this.timer = setInterval(() => {
       this.register.forgetSilent(this.nowMs());
     }, FORGET_INTERVAL_MS);
@@ -133,6 +139,7 @@
     this.core.mesh.setState('draining');
     await this.groups?.stop();
     this.memory?.stop();
+    this.quotas.stop();
     clearInterval(this.timer);
     this.stores.close();
     await this.core.stop();
@@ -238,7 +245,20 @@
     }
   }
 
+  private createQuotas(): QuotaKeeper {
+    const { logger, nowMs, core } = this;
+    return new QuotaKeeper({
+      tolerance: quotaTolerance(this.settings),
+      logger,
+      nowMs,
+      announce: (workspaces) => {
+        core.broadcast('quotaNear', workspaces);
+      },
+    });
+  }
+
   private addGauges(): void {
+    this.metrics.gauge('shedline_quota_counts', () => this.quotas.size);
     const { state } = this.machine;
     this.metrics.gauge('shedline_configuration_version', () => state.position.version);
     this.metrics.gauge('shedline_leave_records', () => state.position.leaveCount);
@@ -356,6 +376,8 @@
         return (await this.leaderStoreKeeper(method).retirement(payload as string)) ?? null;
       case 'endpointRun':
         return this.register.runOf(payload as string) ?? null;
+      case 'quotaAsk':
+        return this.quotas.answer(payload as QuotaAsk);
       case 'fleetPropose':
         return this.leader(method).propose(payload);
       case 'fleetDelta':
@@ -392,8 +414,14 @@
     return host;
   }
 
-  private onMessage(method: string, payload: unknown): void {
+  private takeUsage(reports: readonly UsageReport[], link: Pick<Link, 'send'>): void {
+    const near = this.quotas.take(reports);
+    if (near.length > 0) link.send('quotaNear', near);
+  }
+
+  private onMessage(method: string, payload: unknown, link: Pick<Link, 'send'>): void {
     if (this.groups?.onMessage(method, payload) === true) return;
+    if (method === 'quotaUse') this.takeUsage(payload as UsageReport[], link);
     if (method !== 'heartbeats') return;
     for (const { heartbeat, ageMs } of payload as AgedHeartbeat[]) {
       this.register.hear(heartbeat, ageMs, this.nowMs());
--- a/packages/fleet-control/src/index.ts
+++ b/packages/fleet-control/src/index.ts
@@ -9,3 +9,4 @@
 export * from './process-core.js';
 export * from './protocol.js';
 export * from './store-process.js';
+export * from './quota-settings.js';
--- a/packages/fleet/src/workspace.ts
+++ b/packages/fleet/src/workspace.ts
@@ -2,14 +2,7 @@
  * The workspaces of a configuration: who calls, by which keys, how often and how urgently.
  */
 import { createHash } from 'node:crypto';
-
-/** How often the requests of a workspace may come, over all entries together. */
-export interface RateLimit {
-  /** Requests a second that may go on for ever. */
-  readonly ratePerS: number;
-  /** Requests beyond that which may come at once. */
-  readonly burst: number;
-}
+import type { RateLimit } from '@shedline/types';
 
 /** One workspace. */
 export interface Workspace {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -6,7 +6,7 @@
 import { LeaderCaller } from '@shedline/control-client';
 import type { Placed } from '@shedline/directory';
 import type { AgedHeartbeat, CallerLimits, FleetDelta, RouteTable } from '@shedline/fleet';
-import { ProcessCore, portsOf } from '@shedline/fleet-control';
+import { ProcessCore, portsOf, quotaTolerance } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
 import { ConnectionProbe, EndpointSender, Forwarder } from '@shedline/forwarding';
 import type { AnswerSink, EndpointProtocol } from '@shedline/forwarding';
@@ -26,6 +26,7 @@
 import { JobDesk, jobGroupsOf } from './job-desk.js';
 import { LoadExchange } from './load-exchange.js';
 import { PlannedStop } from './planned-stop.js';
+import { QuotaDesk } from './quota-desk.js';
 import { ReachKeeper } from './reach-keeper.js';
 import { RequestIntake } from './request-intake.js';
 import type { IncomingRequest } from './request-intake.js';
@@ -84,6 +85,7 @@
   private readonly sender: EndpointSender;
   private readonly forwarder: Forwarder;
   private readonly intake: RequestIntake;
+  private readonly quotas: QuotaDesk;
   private readonly entries: EntryLinks;
   private readonly stores: PeerBook;
   private readonly storeLinks: StoreLinks;
@@ -149,9 +151,19 @@
       nowMs: this.nowMs,
     });
     const { fleet } = this.follower;
+    this.quotas = new QuotaDesk({
+      self: name,
+      tolerance: quotaTolerance(settings),
+      controls: this.core.mesh.controls,
+      entryCount: () => this.core.mesh.live('entry').length,
+      metrics: this.metrics,
+      logger,
+      nowMs: this.nowMs,
+    });
     this.intake = new RequestIntake({
       fleet,
       forwarder: this.forwarder,
+      quotas: this.quotas,
       stop: this.stop,
       metrics: this.metrics,
       logger,
@@ -195,6 +207,7 @@
     await this.core.listen();
     this.core.start();
     this.exchange.start();
+    this.quotas.start();
     await this.follower.start();
     this.runner.start();
     this.timer = setInterval(() => {
@@ -272,6 +285,7 @@
     clearInterval(this.timer);
     this.follower.stop();
     this.exchange.stop();
+    this.quotas.stop();
     this.entries.close();
     this.stores.close();
     await this.sender.destroy();
@@ -420,6 +434,7 @@
     if (method === 'heartbeats') this.follower.takeHeartbeats(payload as AgedHeartbeat[]);
     if (method === 'loads') this.pool.hearLoads(from, payload as LoadCount[]);
     if (method === 'slotWanted') this.runner.slotWanted(payload as string);
+    if (method === 'quotaNear') this.quotas.hearNear(payload as string[]);
   }
 
   /** Entries that take callers, and this one in any case. */
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -4,11 +4,12 @@
  */
 import { CallerPatience } from '@shedline/admission';
 import { chooseService } from '@shedline/fleet';
-import type { KnownFleet, Route, Workspace } from '@shedline/fleet';
+import type { KnownFleet, Route, RouteTable, Workspace } from '@shedline/fleet';
 import type { AnswerSink, CallerRequest, Forwarder } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { ProcessMetrics } from '@shedline/metrics';
 import type { PlannedStop } from './planned-stop.js';
+import type { QuotaDesk, QuotaRefusal, QuotaVerdict } from './quota-desk.js';
 
 /** When a caller should come back that was not served while the entry started, elsewhere. */
 const NOT_READY_RETRY_MS = 300;
@@ -27,10 +28,19 @@
   readonly heldMs: number;
 }
 
+/** A request whose route is known. */
+interface AdmittedRequest extends IncomingRequest {
+  readonly route: Route;
+  readonly routes: RouteTable;
+  /** When its caller asked, on the clock of the entry. */
+  readonly beganMs: number;
+}
+
 /** Options of {@link RequestIntake}. */
 export interface RequestIntakeOptions {
   readonly fleet: KnownFleet;
   readonly forwarder: Forwarder;
+  readonly quotas: Pick<QuotaDesk, 'enter' | 'giveBack'>;
   readonly stop: Pick<PlannedStop, 'isClosing'>;
   readonly metrics: ProcessMetrics;
   readonly logger: Logger;
@@ -56,7 +66,7 @@
 
   /** Forwards a request; its answer goes into the sink. */
   async forward(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
-    const { caller, host, workspace, timeLeftMs, heldMs } = incoming;
+    const { caller, host, workspace, heldMs } = incoming;
     if (this.options.stop.isClosing) {
       this.refuseStopping(caller.requestId, sink);
       return;
@@ -67,29 +77,46 @@
       this.refuseUnrouted(incoming, sink);
       return;
     }
-    const beganMs = this.options.nowMs() - heldMs;
-    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
+    const admitted = { ...incoming, route, routes, beganMs: this.options.nowMs() - heldMs };
     this.openCount += 1;
     try {
-      const end = await this.options.forwarder.run({
-        request: caller,
-        route,
-        service: chooseService(route, this.options.random()),
-        rank: workspace?.rank ?? route.rank,
-        version: routes.version,
-        deadlineMs: beganMs + limitMs,
-        firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
-        sink,
-      });
-      const { name } = route;
-      this.options.metrics.count('shedline_requests_total', { route: name, outcome: end });
-      const tookMs = this.options.nowMs() - beganMs;
-      this.options.metrics.took('shedline_request_milliseconds', { route: name }, tookMs);
+      const verdict = await this.judge(workspace, routes);
+      if (verdict.mayPass) await this.run(admitted, sink);
+      else this.refuseOverQuota(incoming, verdict, sink);
     } finally {
       this.openCount -= 1;
     }
   }
 
+  /** Whether the limit of a workspace has room for one more request. */
+  private judge(
+    workspace: Workspace | undefined,
+    { version }: RouteTable,
+  ): QuotaVerdict | Promise<QuotaVerdict> {
+    if (workspace === undefined) return { mayPass: true };
+    return this.options.quotas.enter(workspace, version);
+  }
+
+  private async run(admitted: AdmittedRequest, sink: AnswerSink): Promise<void> {
+    const { caller, workspace, route, routes, timeLeftMs, beganMs } = admitted;
+    const { forwarder, quotas, metrics, random, nowMs } = this.options;
+    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
+    const end = await forwarder.run({
+      request: caller,
+      route,
+      service: chooseService(route, random()),
+      rank: workspace?.rank ?? route.rank,
+      version: routes.version,
+      deadlineMs: beganMs + limitMs,
+      firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
+      sink,
+    });
+    if (end === 'refused' && workspace !== undefined) quotas.giveBack(workspace, routes.version);
+    const { name } = route;
+    metrics.count('shedline_requests_total', { route: name, outcome: end });
+    metrics.took('shedline_request_milliseconds', { route: name }, nowMs() - beganMs);
+  }
+
   /** Time since the first attempt of a caller, as far as it shows. */
   private ageMs(route: Route, timeLeftMs: number | undefined): number {
     if (timeLeftMs === undefined) return 0;
@@ -105,6 +132,23 @@
     sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
   }
 
+  private refuseOverQuota(
+    { caller, workspace }: IncomingRequest,
+    { status, retryAfterMs }: QuotaRefusal,
+    sink: AnswerSink,
+  ): void {
+    this.options.logger.info('request refused', {
+      step: 'quota',
+      request: caller.requestId,
+      workspace: workspace?.name,
+      ...workspace?.limit,
+      outcome: status,
+      retryAfterMs,
+    });
+    this.options.metrics.count('shedline_over_quota_total', { status });
+    sink.refuse(status, { retryAfterMs });
+  }
+
   private refuseUnrouted({ caller, host }: IncomingRequest, sink: AnswerSink): void {
     const version = this.options.fleet.position.version;
     const status = this.options.fleet.routes !== undefined ? 404 : 503;
--- /dev/null
+++ b/packages/quota/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * How many requests of a workspace may pass, over all entries together.
+ */
+export * from './messages.js';
+export * from './tolerance.js';
+export * from './request-ledger.js';
+export * from './request-share.js';
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,6 +5,7 @@
 export * from './endpoint.js';
 export * from './job.js';
 export * from './hash.js';
+export * from './rate-limit.js';
 
 /** Group of the replicated log that holds the table, leases and fencing numbers. */
 export const TABLE_GROUP = 0;
