The first in a queue waits for nobody

Cause: the wait of a request counted one run for each entry that shares the slots, also where nobody goes before it. Change: only those before it here, and as many at each sharer, count. The property that the wait of the first grows with the sharers was that fault; it now holds from the second on, and the first waits for the next run to end, however many share (as strict, an equality).

--- a/packages/admission/src/wait-estimate.ts
+++ b/packages/admission/src/wait-estimate.ts
@@ -53,12 +53,14 @@
   }
 
   /**
-   * Time until a slot opens for the request at a position of this entry's queue, counted from 0:
-   * `slots` requests end in each run time, and each sharer takes its part of the free slots.
+   * Time until a slot opens for the request at a position of this entry's queue, counted from 0: `slots`
+   * requests end in each run time, and for each that goes before it here each sharer takes one as well. Nobody
+   * goes before the first: while it was taken to wait for all sharers, a route whose callers wait for a second
+   * was refused altogether where 13 entries shared 16 slots and a run took half a second.
    */
   waitMs(position: number, { slots, sharers }: WaitingCapacity): number {
     if (slots === 0) return Infinity;
-    return ((position + 1) * this.runMs * Math.max(1, sharers)) / slots;
+    return ((position * Math.max(1, sharers) + 1) * this.runMs) / slots;
   }
 
   /** Whether a request at a position would be over before it could be served. */
