Turns by workspace within a rank; no rank starves

Cause: the queue went by rank and by who is late first. A workspace that floods got all turns that its requests took by number, and a rank got nothing while a more urgent one asked for all. Change: within a rank and lateness whoever was served least of late goes first, then the soonest late; a rank served less than 0.45 times as often as all gets the next turn.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -9,4 +9,5 @@
 export * from './retry-decision.js';
 export * from './row-limits.js';
 export * from './caller-patience.js';
+export * from './fair-turns.js';
 export * from './wait-estimate.js';
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -2,8 +2,8 @@
  * Requests that wait at this entry for an endpoint of their service. Whoever has the best turn
  * gets the next free slot; who cannot be served in its time is told so at once.
  */
-import { WaitEstimate, compareTurns } from '@shedline/admission';
-import type { WaitingCapacity, WaitingRequest } from '@shedline/admission';
+import { FairTurns, WaitEstimate } from '@shedline/admission';
+import type { WaitingCapacity, WaitingTurn } from '@shedline/admission';
 import type { SharedPrompt } from '@shedline/types';
 
 /** Time between looks for free slots: those that other entries leave are not announced here. */
@@ -36,7 +36,7 @@
 }
 
 /** A request that wants an endpoint. */
-export interface EndpointWish extends WaitingRequest {
+export interface EndpointWish extends WaitingTurn {
   readonly service: string;
   /** Endpoints that it was sent to already. */
   readonly tried: ReadonlySet<string>;
@@ -70,6 +70,7 @@
   private readonly finder: EndpointFinder;
   private readonly nowMs: () => number;
   private readonly estimates = new Map<string, WaitEstimate>();
+  private readonly turns = new FairTurns();
   private waiters: Waiter[] = [];
   private timer: NodeJS.Timeout | undefined;
 
@@ -85,6 +86,7 @@
 
   /** Takes a place in the queue, or an endpoint at once where nobody waits and one has room. */
   enter(wish: EndpointWish): QueuePlace {
+    this.turns.asked(wish.rank, this.nowMs());
     const isFree = !this.waiters.some((other) => other.wish.service === wish.service);
     const found = isFree ? this.take(wish) : undefined;
     if (found !== undefined) return { endpoint: Promise.resolve(found), leave: () => undefined };
@@ -116,7 +118,7 @@
   /** Gives free slots to those whose turn it is, and turns away who cannot be served. */
   private serve(): void {
     const nowMs = this.nowMs();
-    const ordered = [...this.waiters].sort((a, b) => compareTurns(a.wish, b.wish, nowMs));
+    const ordered = this.turns.order(this.waiters, nowMs);
     const positions = new Map<string, number>();
     // Where a request that was sent nowhere yet finds no room, nobody does.
     const full = new Set<string>();
@@ -140,7 +142,10 @@
     const found =
       this.finder.choose(service, tried, prompt) ??
       (repeated ? this.finder.choose(service, NONE, prompt) : undefined);
-    if (found !== undefined) this.finder.began(found.endpointId);
+    if (found !== undefined) {
+      this.finder.began(found.endpointId);
+      this.turns.served(wish, this.nowMs());
+    }
     return found;
   }
 
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -129,6 +129,7 @@
       // Where every endpoint was tried, one that refused may have room by now.
       mayRepeat: !this.plan.isInDoubt,
       rank,
+      ...(request.workspace === undefined ? {} : { workspace: request.workspace }),
       onTimeUntilMs: this.headSent
         ? sinceMs + route.longestPauseMs
         : firstAskedAtMs + route.targetMs,
--- a/packages/quota/src/ways.test.ts
+++ b/packages/quota/src/ways.test.ts
@@ -4,7 +4,7 @@
  */
 import { QuotaHolder, QuotaOwner, RateBucket } from '@shedline/admission';
 import test from 'ava';
-import { describe, title } from '@shedline/test-utils';
+import { describe, seededRandom, title } from '@shedline/test-utils';
 import type { QuotaTerms } from './messages.js';
 import { RequestLedger } from './request-ledger.js';
 import { RequestShare } from './request-share.js';
@@ -253,23 +253,12 @@
   return most;
 }
 
-/** A random number generator with a seed (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-}
-
 /** Independent arrivals at a rate that may change over time, each at any entry. */
 function arrivalsAt(
   ratePerS: (atMs: number) => number,
   { entryCount, lengthMs, seed }: { entryCount: number; lengthMs: number; seed: number },
 ): Arrival[] {
-  const random = randomOf(seed);
+  const random = seededRandom(seed);
   const arrivals: Arrival[] = [];
   for (let atMs = 0; atMs < lengthMs; atMs += 1) {
     for (let left = ratePerS(atMs) / 1000; left > 0; left -= 1) {
