Under more work than fits, requests wait where turns are given

Cause: where the endpoints in reach were full, a request went at once to any other endpoint, whatever its load, and queued there; the entries' own queues, which know who can still be on time, stayed empty. Change: beyond reach only while half of the endpoints in reach cannot be used; a request queues at an endpoint only where it is alone in waiting here; a request counts as late from when it would have to be sent.

--- a/packages/admission/src/wait-estimate.ts
+++ b/packages/admission/src/wait-estimate.ts
@@ -40,6 +40,7 @@
 /** Times that requests of one service need, and the waits that follow from them. */
 export class WaitEstimate {
   private smoothedRunMs: number | undefined;
+  private smoothedLeadMs = 0;
 
   /** Notes how long an endpoint was at work on a request that it completed. */
   completed(runMs: number): void {
@@ -47,6 +48,16 @@
     this.smoothedRunMs += SMOOTHING * (runMs - this.smoothedRunMs);
   }
 
+  /** Notes how long it took from a send to the first event of its answer. */
+  answered(leadMs: number): void {
+    this.smoothedLeadMs += SMOOTHING * (leadMs - this.smoothedLeadMs);
+  }
+
+  /** Time from a send to the first event of its answer; 0 before one was seen. */
+  get leadMs(): number {
+    return this.smoothedLeadMs;
+  }
+
   /** Time that a request needs; 0 before one was seen. */
   get runMs(): number {
     return this.smoothedRunMs ?? 0;
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -4,7 +4,7 @@
  */
 import { FairTurns, WaitEstimate } from '@shedline/admission';
 import type { WaitingCapacity, WaitingTurn } from '@shedline/admission';
-import type { SharedPrompt } from '@shedline/types';
+import type { ChoiceTerms, SharedPrompt } from '@shedline/types';
 
 /** Time between looks for free slots: those that other entries leave are not announced here. */
 const LOOK_INTERVAL_MS = 15;
@@ -25,7 +25,7 @@
   choose(
     service: string,
     tried: ReadonlySet<string>,
-    prompt?: SharedPrompt,
+    terms?: ChoiceTerms,
   ): ChosenEndpoint | undefined;
   /** A request is about to be sent to the endpoint. */
   began(endpointId: string): void;
@@ -88,14 +88,17 @@
   enter(wish: EndpointWish): QueuePlace {
     this.turns.asked(wish.rank, this.nowMs());
     const isFree = !this.waiters.some((other) => other.wish.service === wish.service);
-    const found = isFree ? this.take(wish) : undefined;
+    const found = isFree ? this.take(wish, true) : undefined;
     if (found !== undefined) return { endpoint: Promise.resolve(found), leave: () => undefined };
     return this.enqueue(wish);
   }
 
-  /** Notes that a send ended; `runMs` where the endpoint completed the request. */
-  ended(service: string, runMs: number | undefined): void {
+  /**
+   * Notes that a send ended; `runMs` where the endpoint completed the request, `leadMs` the time to the first event.
+   */
+  ended(service: string, runMs: number | undefined, leadMs?: number): void {
     if (runMs !== undefined) this.estimateOf(service).completed(runMs);
+    if (leadMs !== undefined) this.estimateOf(service).answered(leadMs);
     this.serve();
   }
 
@@ -104,7 +107,7 @@
     const endpoint = new Promise<ChosenEndpoint | undefined>((resolve) => {
       settle = resolve;
     });
-    const waiter: Waiter = { wish, sinceMs: this.nowMs(), settle };
+    const waiter: Waiter = { wish: this.toBeSentBy(wish), sinceMs: this.nowMs(), settle };
     this.waiters.push(waiter);
     this.serve();
     return {
@@ -115,17 +118,32 @@
     };
   }
 
+  /**
+   * A request is late from when it would have to be sent on, not from when its answer would have to be there. Counted
+   * from the latter, the turns of an overload all went to requests that became late on their way.
+   */
+  private toBeSentBy(wish: EndpointWish): EndpointWish {
+    const { leadMs } = this.estimateOf(wish.service);
+    return { ...wish, onTimeUntilMs: wish.onTimeUntilMs - leadMs };
+  }
+
   /** Gives free slots to those whose turn it is, and turns away who cannot be served. */
   private serve(): void {
     const nowMs = this.nowMs();
     const ordered = this.turns.order(this.waiters, nowMs);
     const positions = new Map<string, number>();
+    const waitingFor = new Map<string, number>();
+    for (const { wish } of ordered) {
+      waitingFor.set(wish.service, (waitingFor.get(wish.service) ?? 0) + 1);
+    }
     // Where a request that was sent nowhere yet finds no room, nobody does.
     const full = new Set<string>();
     for (const waiter of ordered) {
       const { service, tried } = waiter.wish;
       const position = positions.get(service) ?? 0;
-      const endpoint = full.has(service) ? undefined : this.take(waiter.wish);
+      // A queue at an endpoint fills gaps between runs; what waits there has no turn any more.
+      const isAlone = (waitingFor.get(service) ?? 0) <= 1;
+      const endpoint = full.has(service) ? undefined : this.take(waiter.wish, isAlone);
       if (endpoint === undefined && tried.size === 0) full.add(service);
       if (endpoint !== undefined || this.isHopeless(waiter, position, nowMs)) {
         this.remove(waiter, endpoint);
@@ -136,12 +154,13 @@
     this.keepLooking();
   }
 
-  private take(wish: EndpointWish): ChosenEndpoint | undefined {
+  private take(wish: EndpointWish, mayQueue: boolean): ChosenEndpoint | undefined {
     const { service, tried, mayRepeat, prompt } = wish;
     const repeated = mayRepeat && tried.size > 0;
+    const terms = { mayQueue, prompt };
     const found =
-      this.finder.choose(service, tried, prompt) ??
-      (repeated ? this.finder.choose(service, NONE, prompt) : undefined);
+      this.finder.choose(service, tried, terms) ??
+      (repeated ? this.finder.choose(service, NONE, terms) : undefined);
     if (found !== undefined) {
       this.finder.began(found.endpointId);
       this.turns.served(wish, this.nowMs());
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -145,7 +145,7 @@
   /** A place that was taken at an endpoint is free again. */
   private release(endpointId: string, result: SendResult, runMs?: number): void {
     this.options.chooser.ended(endpointId, result, this.firstPartMs);
-    this.queue.ended(this.task.service, runMs);
+    this.queue.ended(this.task.service, runMs, this.firstPartMs);
   }
 
   /**
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -10,7 +10,7 @@
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting } from '@shedline/routing';
 import type { SlotCandidate } from '@shedline/routing';
-import type { Announcement, SharedPrompt } from '@shedline/types';
+import type { Announcement, ChoiceTerms } from '@shedline/types';
 
 /** Heartbeats that an endpoint may miss. */
 const MISSED_HEARTBEATS = 3;
@@ -24,6 +24,12 @@
 /** Reason of a send where nobody listens. */
 const CLOSED_PORT = 'ECONNREFUSED';
 const FIRST_EJECTION_MS = 800;
+/**
+ * Share of the endpoints in reach up to which others are used while these are full. With the others used whenever
+ * these were full, an overload queued up at all endpoints alike, whoever could still be on time: see
+ * {@link EndpointPool.chooseNear}.
+ */
+const ENOUGH_SHARE = 0.5;
 /**
  * Silence of all control processes that still counts against the leases of endpoints; they are
  * asked every 300 ms. Without this limit all leases ran out together while connections were silent: every entry
@@ -200,9 +206,9 @@
   choose(
     service: string,
     tried: ReadonlySet<string>,
-    prompt?: SharedPrompt,
+    terms: ChoiceTerms = {},
   ): ChosenEndpoint | undefined {
-    const chosen = this.chooseNear(service, tried, prompt);
+    const chosen = this.chooseNear(service, tried, terms);
     if (chosen === undefined) return undefined;
     const { endpointId, online, batch, slots } = chosen;
     const address = this.addresses.get(endpointId);
@@ -301,12 +307,18 @@
   private chooseNear(
     service: string,
     tried: ReadonlySet<string>,
-    prompt: SharedPrompt | undefined,
+    terms: ChoiceTerms,
   ): SlotCandidate | undefined {
     const isUntried = ({ endpointId }: SlotCandidate): boolean => !tried.has(endpointId);
     const near = this.usableInReach(service).filter(isUntried);
-    const chosen = this.routing.choose(near, this.options.availabilityZone, prompt);
-    return chosen ?? this.chooseFar(this.usable(service).filter(isUntried));
+    const chosen = this.routing.choose(near, this.options.availabilityZone, terms);
+    if (chosen !== undefined || this.isEnough(near.length)) return chosen;
+    return this.chooseFar(this.usable(service).filter(isUntried));
+  }
+
+  /** Whether the endpoints in reach that may take work are as many as usual, so that only their load keeps a request. */
+  private isEnough(usableCount: number): boolean {
+    return usableCount > ENOUGH_SHARE * this.options.inReach().size;
   }
 
   /** Any of them alike, in whatever zone: that of this entry is full as far as it knows. */
--- a/packages/routing/src/prompt-homes.test.ts
+++ b/packages/routing/src/prompt-homes.test.ts
@@ -26,7 +26,7 @@
       slots: SLOTS,
     }));
     const prompt = isTold ? { key, tokens } : undefined;
-    const chosen = routing.choose(candidates, `z${step % 2}`, prompt)?.endpointId ?? '';
+    const chosen = routing.choose(candidates, `z${step % 2}`, { prompt })?.endpointId ?? '';
     if (!kept.has(`${key}@${chosen}`) && [...kept].some((one) => one.startsWith(`${key}@`))) {
       again += 1;
     }
@@ -87,7 +87,7 @@
       };
     });
     t.is(candidates.find(({ online }) => online === 1) === undefined, false);
-    const chosen = routing.choose(candidates, 'z', prompt)?.endpointId ?? '';
+    const chosen = routing.choose(candidates, 'z', { prompt })?.endpointId ?? '';
     t.not(costs.of(chosen), 0);
   });
 });
--- a/packages/routing/src/slot-routing.ts
+++ b/packages/routing/src/slot-routing.ts
@@ -4,7 +4,7 @@
  * load, the availability zone and where a long shared prompt part is kept are weighed.
  */
 
-import type { SharedPrompt } from '@shedline/types';
+import type { ChoiceTerms } from '@shedline/types';
 import { promptCosts } from './prompt-homes.js';
 
 /** An endpoint that may take the request. */
@@ -52,18 +52,19 @@
     this.crossZoneShare = options.crossZoneShare ?? DEFAULT_CROSS_ZONE_SHARE;
   }
 
-  /** The best endpoint; undefined where every queue is full. */
+  /** The best endpoint; undefined where every queue is full, or no slot is free and it may not queue. */
   choose(
     candidates: readonly SlotCandidate[],
     availabilityZone: string,
-    prompt?: SharedPrompt,
+    { mayQueue = true, prompt }: ChoiceTerms = {},
   ): SlotCandidate | undefined {
+    const maxQueued = mayQueue ? this.maxQueued : 0;
     const endpointIds = candidates.map(({ endpointId }) => endpointId);
     const reading = promptCosts(prompt, endpointIds);
     let best: SlotCandidate[] = [];
     let bestCost = Infinity;
     for (const candidate of candidates) {
-      if (candidate.online >= candidate.slots + this.maxQueued) continue;
+      if (candidate.online >= candidate.slots + maxQueued) continue;
       const zone = candidate.availabilityZone === availabilityZone ? 0 : this.crossZoneShare;
       const cost = costOf(candidate) + zone + reading.of(candidate.endpointId);
       if (cost < bestCost) best = [];
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -25,3 +25,4 @@
 export const REQUEST_ID_HEADER = 'x-request-id';
 export * from './prefix.js';
 export * from './shared-prompt.js';
+export * from './choice-terms.js';
