A keeper that starts counts a workspace's burst from nothing, over time

Cause: a process in its first window withheld the whole burst for the rest of it. Change: its bucket is empty when the process starts and fills from then on, beside the headroom.

--- a/packages/quota/src/request-ledger.ts
+++ b/packages/quota/src/request-ledger.ts
@@ -130,13 +130,15 @@
       known.heardAtMs = nowMs;
       return known;
     }
-    // Entries that started with this process cannot tell what they let in before: a window's time says enough.
-    const youngUntilMs = this.startedAtMs + this.tolerance.windowMs;
+    const ageMs = nowMs - this.startedAtMs;
+    const isYoung = ageMs < this.tolerance.windowMs;
+    const gained = isYoung ? Math.min(terms.burst, (ageMs * terms.ratePerS) / 1000) : 0;
     const fresh: Account = {
       terms,
-      level: Math.max(1, headroom(terms, this.tolerance)),
-      withheld: terms.burst,
-      withheldUntilMs: Math.max(nowMs + TAKEOVER_MS, youngUntilMs),
+      level: Math.max(1, headroom(terms, this.tolerance) + gained),
+      // Entries that started with this process cannot tell what they let in before: its burst is gained from nothing.
+      withheld: isYoung ? 0 : terms.burst,
+      withheldUntilMs: nowMs + TAKEOVER_MS,
       filledAtMs: nowMs,
       heardAtMs: nowMs,
       usedBefore: [],
