Retry-After of a request without room says when a slot is expected

Cause: a constant of 250 ms, whatever waits. Change: run time, slots and those who wait here before, 50 ms at least; where no endpoint is known, the time in which one makes itself known. Tests: endpoint-queue.test.ts.

--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -175,4 +175,41 @@
       t.is(all.queue.length, 0);
     },
   );
+
+  test(title('says when there is room for a caller that comes back'), async (t) => {
+    const all = setup(8);
+    all.queue.ended(SERVICE, { runMs: 800 });
+    t.is(all.queue.roomInMs(SERVICE), 100, 'one run in eight slots');
+    const places = Array.from({ length: 4 }, () => all.queue.enter(wish()));
+    t.is(all.queue.roomInMs(SERVICE), 500, 'behind four others');
+    for (const place of places) place.leave();
+    const none = setup(0);
+    t.is(none.queue.roomInMs(SERVICE), none.finder.knownWithinMs);
+    await settled();
+  });
+
+  test(
+    title(
+      'what is late leaves its share of the slots to what keeps coming, but not beyond its end',
+    ),
+    async (t) => {
+      const all = setup(2);
+      all.finder.free.set('e', 2);
+      all.queue.ended(SERVICE, { runMs: 1000 });
+      for (let count = 0; count < 6; count += 1) all.queue.enter(wish()).leave();
+      all.finder.free.set('e', 2);
+      const order = follow(all, {
+        late: wish({ onTimeUntilMs: -1 }),
+        last: wish({ onTimeUntilMs: -1, deadlineMs: 1900 }),
+        fresh: wish(),
+      });
+      await settled();
+      t.deepEqual(order, ['last', 'fresh']);
+      all.clock.nowMs = 3500;
+      all.finder.free.set('e', 1);
+      all.queue.ended(SERVICE);
+      await settled();
+      t.deepEqual(order, ['last', 'fresh', 'late']);
+    },
+  );
 });
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -9,6 +9,8 @@
 /** Time between looks for free slots: those that other entries leave are not announced here. */
 const LOOK_INTERVAL_MS = 15;
 const NONE: ReadonlySet<string> = new Set();
+/** Soonest return of a refused caller: its next attempt opens a connection elsewhere in a few ms, and finds the same load. */
+const LEAST_RETURN_MS = 50;
 /** Run times before its end from which on a request goes first among the late ones: its run, and the wait for a slot. */
 const RUNS_TO_SPARE = 2;
 
@@ -115,6 +117,17 @@
     return this.enqueue(toSend);
   }
 
+  /**
+   * Time until there is a slot for a request that comes back, behind those that wait here now; where no endpoint is
+   * known, until one that is up makes itself known.
+   */
+  roomInMs(service: string): number {
+    const capacity = this.finder.capacity(service, NONE);
+    if (capacity.slots === 0) return this.finder.knownWithinMs;
+    const position = this.waiters.filter(({ wish }) => wish.service === service).length;
+    return Math.max(LEAST_RETURN_MS, this.estimateOf(service).waitMs(position, capacity));
+  }
+
   /** Notes that a send ended. */
   ended(service: string, { runMs, leadMs, isForLate = false }: SendEnd = {}): void {
     if (runMs !== undefined) this.estimateOf(service).completed(runMs);
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -73,7 +73,8 @@
         return this.close('callerGone');
       }
       if (endpoint === undefined) {
-        step = this.plan.giveUp(this.options.nowMs());
+        const roomInMs = this.queue.roomInMs(this.task.service);
+        step = this.plan.giveUp(this.options.nowMs(), roomInMs);
         break;
       }
       // News of its content may have come while it waited, or was sent to the endpoint before.
--- a/packages/forwarding/src/request-plan.ts
+++ b/packages/forwarding/src/request-plan.ts
@@ -10,7 +10,7 @@
 const MAX_FRUITLESS_SENDS = 4;
 /** Least time left that a further send makes sense with. */
 const MIN_SEND_MS = 20;
-/** When a refused caller should come back. */
+/** When a caller should come back whose request went to endpoints that did not run it, for reasons of their own. */
 const RETRY_AFTER_MS = 250;
 
 /** How one send ended. */
