A waiting stream counts on its caller's patience; what cannot be served in it is told at once

Change: the patience of a stream bounds its wait; a late one goes first when it could not begin any more soon after; one that has more late ones before it than half of the slots serve until then is refused when it becomes late, with the time of return.

--- a/packages/admission/src/fair-turns.ts
+++ b/packages/admission/src/fair-turns.ts
@@ -3,7 +3,7 @@
  * rank takes everything. It answers loads beyond what the endpoints can run: below that hardly anybody waits, and
  * the order is by when each becomes late.
  */
-import { compareTurns } from './wait-estimate.js';
+import { compareTurns, timelinessOf } from './wait-estimate.js';
 import type { WaitingRequest } from './wait-estimate.js';
 
 /** A request that waits, and for whom. */
@@ -115,6 +115,6 @@
 }
 
 /** Requests of a class are told apart by workspace first: rank, and whether they are late already. */
-function classOf({ rank, onTimeUntilMs }: WaitingTurn, nowMs: number): string {
-  return `${rank} ${onTimeUntilMs <= nowMs ? 'late' : 'on time'}`;
+function classOf(turn: WaitingTurn, nowMs: number): string {
+  return `${turn.rank} ${timelinessOf(turn, nowMs)}`;
 }
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -2,7 +2,7 @@
  * Requests that wait at this entry for an endpoint of their service. Whoever has the best turn
  * gets the next free slot; who cannot be served in its time is told so at once.
  */
-import { FairTurns, WaitEstimate } from '@shedline/admission';
+import { FairTurns, WaitEstimate, timelinessOf } from '@shedline/admission';
 import type { WaitingCapacity, WaitingTurn } from '@shedline/admission';
 import type { ChoiceTerms, SharedPrompt } from '@shedline/types';
 
@@ -11,8 +11,6 @@
 const NONE: ReadonlySet<string> = new Set();
 /** Soonest return of a refused caller: its next attempt opens a connection elsewhere in a few ms, and finds the same load. */
 const LEAST_RETURN_MS = 50;
-/** Run times before its end from which on a request goes first among the late ones: its run, and the wait for a slot. */
-const RUNS_TO_SPARE = 2;
 
 /** An endpoint chosen for one send. */
 export interface ChosenEndpoint {
@@ -83,6 +81,18 @@
   readonly settle: (endpoint: ChosenEndpoint | undefined) => void;
 }
 
+/** What one look at the queue has found for a service so far. */
+interface ServiceRound {
+  readonly capacity: WaitingCapacity;
+  /** Requests that wait for it. */
+  waiting: number;
+  /** Those that were looked at and go on to wait. */
+  before: number;
+  /** Of these, the late ones that can wait. */
+  lateBefore: number;
+  isFull: boolean;
+}
+
 /** The queue of one entry. */
 export class EndpointQueue {
   private readonly finder: EndpointFinder;
@@ -112,7 +122,8 @@
     this.estimateOf(wish.service).arrived(this.nowMs());
     const isFree = !this.waiters.some((other) => other.wish.service === wish.service);
     const toSend = this.toBeSentBy(wish);
-    const found = isFree && this.mayGo(toSend) ? this.take(toSend, true) : undefined;
+    const mayGo = isFree && this.mayGo(toSend, this.finder.capacity(wish.service, NONE));
+    const found = mayGo ? this.take(toSend, true) : undefined;
     if (found !== undefined) return { endpoint: Promise.resolve(found), leave: () => undefined };
     return this.enqueue(toSend);
   }
@@ -157,52 +168,60 @@
    * from the latter, the turns of an overload all went to requests that became late on their way.
    */
   private toBeSentBy(wish: EndpointWish): EndpointWish {
-    const { leadMs } = this.estimateOf(wish.service);
-    return { ...wish, onTimeUntilMs: wish.onTimeUntilMs - leadMs };
+    const estimate = this.estimateOf(wish.service);
+    const onTimeUntilMs = wish.onTimeUntilMs - estimate.leadMs;
+    return { ...wish, onTimeUntilMs, urgentFromMs: estimate.urgentFromMs(wish) };
   }
 
   /**
    * Whether a request may take a slot. One that is late already leaves this entry's share of the slots to those that
-   * can still be on time and will come while it runs; it goes when it would be over otherwise. After a loss of all
-   * power in a peak every slot went to what had waited, and what came then was late as well.
+   * can still be on time and will come while it runs; it goes when it could not be served any more otherwise. After a
+   * loss of all power in a peak every slot went to what had waited, and what came then was late as well.
    */
-  private mayGo({ service, onTimeUntilMs, deadlineMs }: EndpointWish): boolean {
+  private mayGo(wish: EndpointWish, { slots, sharers }: WaitingCapacity): boolean {
     const nowMs = this.nowMs();
-    if (onTimeUntilMs > nowMs) return true;
-    const estimate = this.estimateOf(service);
-    if (deadlineMs - nowMs < RUNS_TO_SPARE * estimate.runMs) return true;
-    const { slots, sharers } = this.finder.capacity(service, NONE);
-    return this.lateUnderWay + estimate.slotsForNew(nowMs) < slots / Math.max(1, sharers);
+    if (timelinessOf(wish, nowMs) !== 'late') return true;
+    const reserved = this.estimateOf(wish.service).slotsForNew(nowMs);
+    return this.lateUnderWay + reserved < slots / Math.max(1, sharers);
   }
 
   /** Gives free slots to those whose turn it is, and turns away who cannot be served. */
   private serve(): void {
     const nowMs = this.nowMs();
     const ordered = this.turns.order(this.waiters, nowMs);
-    const positions = new Map<string, number>();
-    const waitingFor = new Map<string, number>();
-    for (const { wish } of ordered) {
-      waitingFor.set(wish.service, (waitingFor.get(wish.service) ?? 0) + 1);
-    }
-    // Where a request that was sent nowhere yet finds no room, nobody does.
-    const full = new Set<string>();
+    const rounds = new Map<string, ServiceRound>();
+    for (const { wish } of ordered) this.roundOf(rounds, wish.service).waiting += 1;
     for (const waiter of ordered) {
-      const { service, tried } = waiter.wish;
-      const position = positions.get(service) ?? 0;
-      // A queue at an endpoint fills gaps between runs; what waits there has no turn any more.
-      const isAlone = (waitingFor.get(service) ?? 0) <= 1;
-      const mayGo = !full.has(service) && this.mayGo(waiter.wish);
-      const endpoint = mayGo ? this.take(waiter.wish, isAlone) : undefined;
-      if (mayGo && endpoint === undefined && tried.size === 0) full.add(service);
-      if (endpoint !== undefined || this.isHopeless(waiter, position, nowMs)) {
+      const round = this.roundOf(rounds, waiter.wish.service);
+      const endpoint = this.takeInRound(waiter.wish, round);
+      if (endpoint !== undefined || this.isHopeless(waiter, round, nowMs)) {
         this.remove(waiter, endpoint);
-      } else {
-        positions.set(service, position + 1);
+        continue;
       }
+      round.before += 1;
+      if (timelinessOf(waiter.wish, nowMs) === 'late') round.lateBefore += 1;
     }
     this.keepLooking();
   }
 
+  private roundOf(rounds: Map<string, ServiceRound>, service: string): ServiceRound {
+    const known = rounds.get(service);
+    if (known !== undefined) return known;
+    const capacity = this.finder.capacity(service, NONE);
+    const fresh = { capacity, waiting: 0, before: 0, lateBefore: 0, isFull: false };
+    rounds.set(service, fresh);
+    return fresh;
+  }
+
+  private takeInRound(wish: EndpointWish, round: ServiceRound): ChosenEndpoint | undefined {
+    if (round.isFull || !this.mayGo(wish, round.capacity)) return undefined;
+    // A queue at an endpoint fills gaps between runs; what waits there has no turn any more.
+    const endpoint = this.take(wish, round.waiting <= 1);
+    // Where a request that was sent nowhere yet finds no room, nobody does.
+    if (endpoint === undefined && wish.tried.size === 0) round.isFull = true;
+    return endpoint;
+  }
+
   private take(wish: EndpointWish, mayQueue: boolean): ChosenEndpoint | undefined {
     const { service, tried, mayRepeat, prompt } = wish;
     const repeated = mayRepeat && tried.size > 0;
@@ -213,17 +232,21 @@
     if (found === undefined) return undefined;
     this.finder.began(found.endpointId);
     this.turns.served(wish, this.nowMs());
-    const isForLate = wish.onTimeUntilMs <= this.nowMs();
+    const isForLate = timelinessOf(wish, this.nowMs()) !== 'on time';
     if (isForLate) this.lateUnderWay += 1;
     return { ...found, isForLate };
   }
 
-  private isHopeless({ wish, sinceMs }: Waiter, position: number, nowMs: number): boolean {
+  private isHopeless({ wish, sinceMs }: Waiter, round: ServiceRound, nowMs: number): boolean {
     if (wish.deadlineMs <= nowMs) return true;
     const { service, tried, mayRepeat } = wish;
-    const capacity = this.finder.capacity(service, mayRepeat ? NONE : tried);
+    const isAnyUsable = mayRepeat || tried.size === 0;
+    const capacity = isAnyUsable ? round.capacity : this.finder.capacity(service, tried);
     if (capacity.slots === 0) return nowMs - sinceMs >= this.finder.knownWithinMs;
-    return this.estimateOf(service).isHopeless(wish, position, capacity, nowMs);
+    const estimate = this.estimateOf(service);
+    const isLate = timelinessOf(wish, nowMs) === 'late';
+    if (isLate && estimate.isBeyondLate(wish, round.lateBefore, capacity, nowMs)) return true;
+    return estimate.isHopeless(wish, round.before, capacity, nowMs);
   }
 
   private remove(waiter: Waiter, endpoint: ChosenEndpoint | undefined): void {
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -63,6 +63,8 @@
   readonly version: number;
   /** End of the time that the request has, on the clock of `nowMs`. */
   readonly deadlineMs: number;
+  /** When this attempt of the caller came, on the same clock. */
+  readonly arrivedAtMs: number;
   /** When the caller first asked, as far as it shows, on the same clock. */
   readonly firstAskedAtMs: number;
   readonly sink: AnswerSink;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -16,6 +16,12 @@
  */
 const SILENCE_FACTOR = 2;
 const MIN_SILENCE_MS = 500;
+/**
+ * Silence after which callers leave a stream: two seconds, four times the target or eight times the longest pause
+ * between events, whichever is longest. Of the late requests of an overload that waited for their deadline of 5 s instead,
+ * 504 were left by their callers after 2 s (one day of the shifted Registry).
+ */
+const LEAST_PATIENCE_MS = 2000;
 
 /** Carries one request to its end. */
 export class ForwardedRequest {
@@ -137,6 +143,7 @@
         ? sinceMs + route.longestPauseMs
         : firstAskedAtMs + route.targetMs,
       deadlineMs,
+      ...this.beginBy(),
       ...(request.sharedPrompt === undefined ? {} : { prompt: request.sharedPrompt }),
     });
     const endpoint = await this.place.endpoint;
@@ -146,6 +153,16 @@
     return endpoint;
   }
 
+  /** Callers leave a stream that does not begin, or go on, for some time, long before their deadline. */
+  private beginBy(): { readonly beginByMs?: number } {
+    const { route, arrivedAtMs } = this.task;
+    if (route.kind !== 'stream') return {};
+    const { targetMs, longestPauseMs } = route;
+    const patienceMs = Math.max(LEAST_PATIENCE_MS, 4 * targetMs, 8 * longestPauseMs);
+    const sinceMs = this.headSent ? this.options.nowMs() : arrivedAtMs;
+    return { beginByMs: sinceMs + patienceMs };
+  }
+
   /** A place that was taken at an endpoint is free again. */
   private release(endpointId: string, result: SendResult, runMs?: number): void {
     this.options.chooser.ended(endpointId, result, this.firstPartMs);
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -133,6 +133,7 @@
     rank: 0,
     version: 1,
     deadlineMs: 5000,
+    arrivedAtMs: 0,
     firstAskedAtMs: 0,
     sink,
   });
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -206,6 +206,7 @@
       rank: 0,
       version: 1,
       deadlineMs: nowMs + DEADLINE_MS,
+      arrivedAtMs: nowMs,
       firstAskedAtMs: nowMs,
       sink: new PatientCaller(() => {
         this.events += 1;
--- a/packages/gateway/src/request-intake.ts
+++ b/packages/gateway/src/request-intake.ts
@@ -108,6 +108,7 @@
       rank: workspace?.rank ?? route.rank,
       version: routes.version,
       deadlineMs: beganMs + limitMs,
+      arrivedAtMs: beganMs,
       firstAskedAtMs: beganMs - this.ageMs(route, timeLeftMs),
       sink,
     });
