--- /dev/null
+++ b/packages/gateway/src/quota-desk.test.ts
@@ -0,0 +1,123 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import test from 'ava';
+import { createLogger } from '@shedline/logger';
+import { ProcessMetrics } from '@shedline/metrics';
+import type { QuotaAnswer, QuotaAsk, UsageReport } from '@shedline/quota';
+import { describe, title } from '@shedline/test-utils';
+import type { PeerClient } from '@shedline/transport';
+import { QuotaDesk } from './quota-desk.js';
+
+const LIMITED = { name: 'w', keyDigests: [], limit: { ratePerS: 10, burst: 10 } };
+const UNLIMITED = { name: 'free', keyDigests: [] };
+const VERSION = 3;
+
+/** A control process as the desk sees it. */
+class FakeKeeper {
+  readonly asks: QuotaAsk[] = [];
+  readonly reports: UsageReport[] = [];
+  granted = Infinity;
+  isSilent = false;
+  readonly peerName: string;
+
+  constructor(peerName: string) {
+    this.peerName = peerName;
+  }
+
+  send(_method: string, reports: unknown): void {
+    this.reports.push(...(reports as UsageReport[]));
+  }
+
+  async request(_method: string, payload: unknown): Promise<QuotaAnswer> {
+    const ask = payload as QuotaAsk;
+    this.asks.push(ask);
+    await pause(5);
+    if (this.isSilent) throw new Error('no answer');
+    const granted = Math.min(ask.wanted, this.granted);
+    return { granted, roomInMs: 700, spacingMs: 100 };
+  }
+}
+
+function setup(...keepers: FakeKeeper[]): QuotaDesk {
+  return new QuotaDesk({
+    self: 'e',
+    tolerance: { windowMs: 5000, overshootShare: 0.1, slack: 20 },
+    controls: { ready: keepers as unknown as PeerClient[] },
+    entryCount: () => 4,
+    metrics: new ProcessMetrics(),
+    logger: createLogger({ level: 'silent' }),
+    nowMs: () => performance.now(),
+  });
+}
+
+describe('QuotaDesk', () => {
+  test(title('lets requests pass at once and tells of them together'), async (t) => {
+    const keeper = new FakeKeeper('a');
+    const desk = setup(keeper);
+    for (let count = 0; count < 3; count += 1) {
+      t.deepEqual(await desk.enter(LIMITED, VERSION), { mayPass: true });
+    }
+    t.deepEqual(await desk.enter(UNLIMITED, VERSION), { mayPass: true });
+    desk.giveBack(LIMITED, VERSION);
+    await pause(100);
+    const terms = { ...LIMITED.limit, version: VERSION };
+    t.deepEqual(keeper.reports, [{ workspace: 'w', terms, used: 2 }]);
+    t.is(keeper.asks.length, 0);
+  });
+
+  test(
+    title(
+      'asks once for all that come while a question is under way; each refused has its own time',
+    ),
+    async (t) => {
+      const keeper = new FakeKeeper('a');
+      const desk = setup(keeper);
+      desk.hearNear(['w']);
+      keeper.granted = 1;
+      const verdicts = await Promise.all(
+        [1, 2, 3, 4].map(async () => desk.enter(LIMITED, VERSION)),
+      );
+      t.deepEqual(
+        keeper.asks.map(({ wanted }) => wanted),
+        [1, 3],
+      );
+      t.deepEqual(verdicts, [
+        { mayPass: true },
+        { mayPass: true },
+        { mayPass: false, status: 429, retryAfterMs: 700 },
+        { mayPass: false, status: 429, retryAfterMs: 800 },
+      ]);
+    },
+  );
+
+  test(
+    title('judges alone where a keeper does not answer, and asks another one then'),
+    async (t) => {
+      const first = new FakeKeeper('a');
+      const second = new FakeKeeper('b');
+      const desk = setup(first, second);
+      desk.hearNear(['w']);
+      first.isSilent = true;
+      second.isSilent = true;
+      const alone = await desk.enter(LIMITED, VERSION);
+      t.true(alone.mayPass, 'its part of the limit');
+      t.is(first.asks.length + second.asks.length, 1);
+      first.isSilent = false;
+      second.isSilent = false;
+      await desk.enter(LIMITED, VERSION);
+      t.deepEqual([first.asks.length, second.asks.length], [1, 1]);
+    },
+  );
+
+  test(
+    title('without any keeper passes its part of the limit, and says 503 beyond it'),
+    async (t) => {
+      const desk = setup();
+      const verdicts = [];
+      for (let count = 0; count < 100; count += 1)
+        verdicts.push(await desk.enter(LIMITED, VERSION));
+      const passed = verdicts.filter(({ mayPass }) => mayPass).length;
+      t.true(passed >= 15 && passed <= 61, String(passed));
+      t.deepEqual(verdicts.at(-1), { mayPass: false, status: 503, retryAfterMs: 300 });
+    },
+  );
+});
