--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -14,6 +14,7 @@
 import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
 import type { PeerBook } from '@shedline/transport';
+import { callerAddresses } from './caller-addresses.js';
 import { CrashGuard } from './crash-guard.js';
 import { CrashReporter } from './crash-reporter.js';
 import { EndWatch } from './end-watch.js';
@@ -54,10 +55,6 @@
  * a reader for up to a second, and one that lost power answers nothing.
  */
 const MAX_STORE_ATTEMPT_MS = 1500;
-/** Most addresses in one answer. */
-const MAX_ADDRESSES = 64;
-/** Entries in the caller's zone from which the answer leaves the other zones out. */
-const ENOUGH_IN_ZONE = 2;
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly settings: FleetSettings;
@@ -234,14 +231,9 @@
     return this.follower.fleet.routes?.configuration.limits;
   }
 
-  /** Addresses for a caller: its own zone where that has enough entries, all otherwise. */
+  /** Addresses for a caller, see {@link callerAddresses}. */
   addresses(availabilityZone: string): string[] {
-    const ready = this.core.mesh
-      .live('entry')
-      .filter((entry) => entry.state === 'ready' && entry.callerAddress !== undefined);
-    const near = ready.filter((entry) => entry.availabilityZone === availabilityZone);
-    const chosen = near.length >= ENOUGH_IN_ZONE ? near : ready;
-    return chosen.flatMap((entry) => entry.callerAddress ?? []).slice(0, MAX_ADDRESSES);
+    return callerAddresses(this.core.mesh.live('entry'), availabilityZone);
   }
 
   /** The routes in force here; undefined before the first configuration. */
