What an answer takes to begin counts for at most half of the time that is left

Cause: the time from a send to the first event grows while endpoints queue; once it is beyond the target, every request would look late as it comes, and wait beside free slots. Found by reading; test in endpoint-queue.test.ts.

--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -212,4 +212,15 @@
       t.deepEqual(order, ['last', 'fresh', 'late']);
     },
   );
+
+  test(title('slow answers of a moment do not make all that come look late'), async (t) => {
+    const all = setup(2);
+    for (let count = 0; count < 100; count += 1)
+      all.queue.ended(SERVICE, { runMs: 5000, leadMs: 2000 });
+    for (let count = 0; count < 20; count += 1) all.queue.enter(wish()).leave();
+    all.finder.free.set('e', 1);
+    t.deepEqual(follow(all, { fresh: wish({ deadlineMs: 20_000 }) }), []);
+    await settled();
+    t.is(all.queue.length, 0, 'it goes at once to the slot that is free');
+  });
 });
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -9,6 +9,11 @@
 /** Time between looks for free slots: those that other entries leave are not announced here. */
 const LOOK_INTERVAL_MS = 15;
 const NONE: ReadonlySet<string> = new Set();
+/**
+ * Part of the time that a request has left to be on time that may count for its way. Endpoints that were slow for a moment
+ * would make all that come look late otherwise, and be left to nobody while they are free.
+ */
+const MOST_LEAD_SHARE = 0.5;
 /** Soonest return of a refused caller: its next attempt opens a connection elsewhere in a few ms, and finds the same load. */
 const LEAST_RETURN_MS = 50;
 
@@ -169,7 +174,8 @@
    */
   private toBeSentBy(wish: EndpointWish): EndpointWish {
     const estimate = this.estimateOf(wish.service);
-    const onTimeUntilMs = wish.onTimeUntilMs - estimate.leadMs;
+    const leftMs = Math.max(0, wish.onTimeUntilMs - this.nowMs());
+    const onTimeUntilMs = wish.onTimeUntilMs - Math.min(estimate.leadMs, MOST_LEAD_SHARE * leftMs);
     return { ...wish, onTimeUntilMs, urgentFromMs: estimate.urgentFromMs(wish) };
   }
 
