--- a/packages/soak/src/endpoint-set.ts
+++ b/packages/soak/src/endpoint-set.ts
@@ -80,8 +80,10 @@
       announcedHost: this.announcedHost(name),
       host: await this.listenHost(name),
       port: PORT,
-      onRun: (requestId) => {
-        this.options.ledger.ran(requestId, runName, this.options.nowMs());
+      onRun: (requestId, isOwn) => {
+        const { ledger, nowMs } = this.options;
+        ledger.ran(requestId, runName, nowMs());
+        if (!isOwn) ledger.broken('requests run as their workspace', nowMs(), requestId);
       },
       onCrash: (content) => {
         if (this.endpoints.get(name)?.runName !== runName) return;
--- a/packages/soak/src/fleet-wire.ts
+++ b/packages/soak/src/fleet-wire.ts
@@ -54,8 +54,8 @@
   /** IP number that it listens on. */
   readonly host: string;
   readonly port: number;
-  /** Told when it begins to run a request. */
-  readonly onRun: (requestId: string) => void;
+  /** Told when it begins to run a request; `isOwn`: as the workspace of its caller, whose key stayed in the system. */
+  readonly onRun: (requestId: string, isOwn: boolean) => void;
   /** Told when a run is to end it: that of a content that begins with `CRASHER_PREFIX`. */
   readonly onCrash: (content: string) => void;
 }
