Who was sent somewhere in vain goes first among the late ones

Change: it is urgent from its second wait on, and not counted out for the number of late ones. Test: endpoint-queue.test.ts.

--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -223,4 +223,29 @@
     await settled();
     t.is(all.queue.length, 0, 'it goes at once to the slot that is free');
   });
+
+  test(
+    title('among the late ones, who was sent somewhere in vain goes first, and waits on'),
+    async (t) => {
+      const all = setup(2);
+      all.queue.ended(SERVICE, { runMs: 1000 });
+      const late = { onTimeUntilMs: -1, deadlineMs: 2500 };
+      const order = follow(all, {
+        first: wish(late),
+        second: wish(late),
+        third: wish(late),
+        again: wish({ ...late, tried: new Set(['other']) }),
+      });
+      await settled();
+      const afterFirstLook = [...order];
+      all.finder.free.set('e', 1);
+      all.queue.ended(SERVICE);
+      await settled();
+      const afterSecondLook = [...order];
+      all.clock.nowMs = 6000;
+      all.queue.ended(SERVICE);
+      t.deepEqual(afterFirstLook, ['third refused'], 'more late ones than can be served');
+      t.deepEqual(afterSecondLook, ['third refused', 'again']);
+    },
+  );
 });
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -176,7 +176,9 @@
     const estimate = this.estimateOf(wish.service);
     const leftMs = Math.max(0, wish.onTimeUntilMs - this.nowMs());
     const onTimeUntilMs = wish.onTimeUntilMs - Math.min(estimate.leadMs, MOST_LEAD_SHARE * leftMs);
-    return { ...wish, onTimeUntilMs, urgentFromMs: estimate.urgentFromMs(wish) };
+    // Who was sent somewhere in vain goes before those that were not, once both are late: it may not be refused as not run.
+    const urgentFromMs = wish.tried.size > 0 ? this.nowMs() : estimate.urgentFromMs(wish);
+    return { ...wish, onTimeUntilMs, urgentFromMs };
   }
 
   /**
