--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -308,7 +308,7 @@
   }
 
   /**
-   * Endpoints beyond reach are for when the queues of those in reach are full. Their users do not tell this
+   * Endpoints beyond reach are for when half of those in reach cannot be used. Their users do not tell this
    * entry of their load: a short queue that is known is better. While entries left as soon as no slot in
    * reach was free, and took the others for idle, 98 of 409 requests of a peak went there and 35 of these
    * were late; of 19 that queued in reach 2 were (one zone of a fleet of 165 entries and 52 endpoints).
