Abort results of a job whose later page cannot be read

Callers saw: GET /v1/jobs/:id/results as a complete response (200, last chunk) with some of the results, followed by the line "Error: Cannot write headers after they are sent to the client", where a later page failed, for instance without a leader; and without any such line where the job was removed meanwhile. Found while looking for other truncated responses that count as complete. Cause: the error handler returned an error response though the head had been sent; the HTTP adapter then ended the body with its own text. A page of an unknown job ended the loop like the last one. Change: an error after the head aborts the response; a job that is gone by a later page is an error. Why it works: an HTTP client reports a body in chunks without its last chunk as an error.

--- a/packages/entry/src/jobs-api.ts
+++ b/packages/entry/src/jobs-api.ts
@@ -131,7 +131,7 @@
         ...page,
         fromIndex: current.nextIndex,
       });
-      if (next === undefined) break;
+      if (next === undefined) throw notFound(`job ${jobId} was removed while it was read`);
       current = next;
     }
     outgoing.end();
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -2,10 +2,12 @@
  * The HTTP interface of an entry.
  */
 import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import { z } from 'zod';
 import { toShedlineError } from '@shedline/errors';
 import type { ShedlineError } from '@shedline/errors';
+import { abortResponse } from '@shedline/http-connector';
 import type { Logger } from '@shedline/logger';
 import { burnPage, burnReport, burnTable } from '@shedline/metrics';
 import type { BurnSeries } from '@shedline/metrics';
@@ -65,7 +67,10 @@
 function handleError(options: RoutesOptions, thrown: unknown, c: EntryHttpContext): Response {
   const error = toShedlineError(thrown, { step: 'answer', peer: 'caller', ran: 'unknown' });
   logFailure(options, error, c);
-  return errorResponse(error);
+  const { outgoing } = c.env;
+  if (!outgoing.headersSent) return errorResponse(error);
+  abortResponse(outgoing);
+  return RESPONSE_ALREADY_SENT;
 }
 
 function logFailure(options: RoutesOptions, error: ShedlineError, c: EntryHttpContext): void {
--- /dev/null
+++ b/packages/http-connector/src/connector.ts
@@ -0,0 +1,50 @@
+/**
+ * Connector for the HTTP client undici that reports a connection reset as an error.
+ */
+import type { Socket } from 'node:net';
+import { buildConnector } from 'undici';
+
+/** Returns a connector that stops opening a connection after `timeoutMs`. */
+export function connectorWithin(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [error, socket] = result;
+      if (error === null) {
+        socket.prependListener('error', relabelReset);
+        verifyEndOfInput(socket);
+      }
+      callback(...result);
+    });
+  };
+}
+
+/**
+ * Replaces the error code `ECONNRESET`. With that code the client treats a response without a
+ * length as complete, although it is complete only if its connection was closed in order; with any
+ * other code the client reports the error.
+ */
+function relabelReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') error.code = 'CONNECTION_RESET';
+}
+
+/**
+ * Ends the socket's input only after an orderly close. If the last bytes and a reset are both
+ * pending when the runtime polls the socket, it reports an end of input and no error, and the
+ * client would take a truncated response without a length for complete. A write still reveals the
+ * reset, and destroys the socket with that error.
+ */
+function verifyEndOfInput(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
+    if (chunk !== null || !socket.writable) return push(chunk, encoding);
+    const endInput = (): void => {
+      if (!socket.destroyed) push(null);
+    };
+    // An empty write would wait for pending writes, which a peer that only closed its side may
+    // never read. After a reset they fail before the next turn of the event loop.
+    if (socket.writableLength > 0) setImmediate(endInput);
+    else socket.write('', endInput);
+    return false;
+  };
+}
