Report truncated responses to callers of the client library as lost connections

Callers of the library saw: part of a body as a complete response where a response without a length (from a proxy before the entries) was reset with its last bytes; and an error of type `internal`, without a retry, where any response was truncated, even if the call may be repeated. Cause: the library had its own connections without the verified end of input, and errors while a body was read were not converted to errors of the library. Change: the library uses the same connector; a body that breaks off is an error of type `unavailable`, `ran: unknown`, like a connection that breaks before the head. Why it works: the retry rule already retries `unavailable` for repeatable calls only.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -9,10 +9,11 @@
 import type { Dispatcher } from 'undici';
 import { ShedlineError, errorFromBody, toShedlineError } from '@shedline/errors';
 import type { ErrorBody } from '@shedline/errors';
+import { connectorWithin } from '@shedline/http-connector';
 import { DEADLINE_HEADER, SESSION_HEADER } from '@shedline/types';
 import type { JobView } from '@shedline/types';
 import { EntryAddresses } from './entry-addresses.js';
-import { exchange } from './http-exchange.js';
+import { exchange, textOf } from './http-exchange.js';
 import type { Exchange } from './http-exchange.js';
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -85,7 +86,7 @@
   private readonly options: ShedlineClientOptions;
   private readonly addresses: EntryAddresses;
   private readonly agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: connectorWithin(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
@@ -110,7 +111,7 @@
   text(options: CallOptions): Promise<string> {
     return this.withRetries(options, async (url) => {
       const response = await this.send(url, options);
-      return response.body.text();
+      return textOf(response.body);
     });
   }
 
@@ -282,7 +283,7 @@
           path: `/v1/addresses${query}`,
           repeatable: true,
         });
-        const body = (await response.body.json()) as {
+        const body = JSON.parse(await textOf(response.body)) as {
           addresses: { url: string }[];
           keepForMs: number;
         };
@@ -316,7 +317,7 @@
       },
     });
     const decoder = new TextDecoder();
-    for await (const bytes of response.body as AsyncIterable<Buffer>) {
+    for await (const bytes of response.body) {
       parser.feed(decoder.decode(bytes, { stream: true }));
     }
     const failure = errorOf(state);
--- a/packages/client/src/http-exchange.ts
+++ b/packages/client/src/http-exchange.ts
@@ -22,7 +22,8 @@
 /** A response with a status below 400. */
 export interface Exchange {
   readonly status: number;
-  readonly body: Dispatcher.ResponseData['body'];
+  /** Throws a ShedlineError if the connection breaks before the body is complete. */
+  readonly body: AsyncIterable<Buffer>;
 }
 
 /**
@@ -42,8 +43,27 @@
   } catch (error) {
     throw createConnectionError(error, options);
   }
-  if (response.statusCode < 400) return { status: response.statusCode, body: response.body };
-  throw errorOfResponse(response.statusCode, await response.body.text(), options);
+  const body = readBody(response, options);
+  if (response.statusCode < 400) return { status: response.statusCode, body };
+  throw errorOfResponse(response.statusCode, await textOf(body), options);
+}
+
+/** Reads a body to its end as text. */
+export async function textOf(body: AsyncIterable<Buffer>): Promise<string> {
+  const parts: Buffer[] = [];
+  for await (const bytes of body) parts.push(bytes);
+  return Buffer.concat(parts).toString();
+}
+
+async function* readBody(
+  { body }: Dispatcher.ResponseData,
+  options: ExchangeOptions,
+): AsyncGenerator<Buffer> {
+  try {
+    for await (const bytes of body) yield bytes as Buffer;
+  } catch (error) {
+    throw createConnectionError(error, options);
+  }
 }
 
 /** Creates the error for a connection error; `ran` is 'no' if the request was provably not sent. */
