Send responses without a length to callers in chunks

Cause: such a response went out without a length and without chunks, so that its end was the end of its connection; the kernel closes the connections of a killed process in order. Ruled out: the reason for that form, "a last chunk calls a truncated body whole". What had been truncated then came to the entry as complete, by the fault of the connector; an aborted body gets no last chunk. Change: chunks towards HTTP/1.1 callers in any case. HTTP/1.0 has none: there the body ends with its connection, and is reset if it is aborted, now also where the endpoint itself used chunks.

--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -23,15 +23,8 @@
 
 /** Receives the response for the caller. */
 export interface ResponseSink {
-  /**
-   * Writes the head. `endsWithConnection`: the body has neither a length nor chunks; see {@link
-   * EndpointHead}.
-   */
-  sendHead(
-    status: number,
-    headers: RawHeaders,
-    options?: { readonly endsWithConnection?: boolean },
-  ): void;
+  /** Writes the head. The body that follows can be told from a truncated one. */
+  sendHead(status: number, headers: RawHeaders): void;
   /** Writes a part of the body. Returns false if the writer has to wait for {@link onDrain}. */
   write(bytes: Buffer): boolean;
   onDrain(listener: () => void): void;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -290,8 +290,8 @@
   private sendHead(): void {
     if (this.isHeadSent || this.pendingHead === undefined) return;
     this.isHeadSent = true;
-    const { status, headers, endsWithConnection } = this.pendingHead;
-    this.task.sink.sendHead(status, headers, { endsWithConnection });
+    const { status, headers } = this.pendingHead;
+    this.task.sink.sendHead(status, headers);
     this.plan.noteForwarded(undefined);
   }
 
@@ -309,8 +309,8 @@
 
   private forwardFailure(result: SendResult & { kind: 'failure' }): ForwardEnd {
     const { sink } = this.task;
-    const { status, headers, endsWithConnection } = result.head;
-    sink.sendHead(status, headers, { endsWithConnection });
+    const { status, headers } = result.head;
+    sink.sendHead(status, headers);
     sink.write(result.body);
     sink.end();
     return this.close('passedOn');
