Keep the data of log entries in buffers of their own

Followers copied received entries; the leader did not copy its own. Change: the log copies an entry whose data is part of a larger buffer; the followers' copy is gone.

--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -16,6 +16,18 @@
   readonly entries: readonly LogEntry[];
 }
 
+/**
+ * Returns the entry with its data in a buffer of its own. Data that was decoded from a message, or
+ * encoded into a shared buffer, is a view of up to megabytes, which would stay in memory until the
+ * entry is compacted.
+ */
+function withOwnBuffer(entry: LogEntry): LogEntry {
+  const { data } = entry;
+  return data.byteLength === data.buffer.byteLength
+    ? entry
+    : { ...entry, data: new Uint8Array(data) };
+}
+
 /** Log entries after a base position, with the configurations that they contain. */
 export class MemoryLog {
   private base: { index: number; term: number };
@@ -88,7 +100,7 @@
     if (entry.index !== this.lastIndex + 1) {
       throw new Error(`cannot append entry ${entry.index}: the last index is ${this.lastIndex}`);
     }
-    this.entries.push(entry);
+    this.entries.push(withOwnBuffer(entry));
     if (entry.config !== undefined) this.configs.push({ index: entry.index, config: entry.config });
   }
 
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -18,7 +18,7 @@
 import type { ClusterDocument } from './identity.js';
 import { repairMembers, transferToPreferredLeader } from './membership-tasks.js';
 import type { MembershipTaskOptions } from './membership-tasks.js';
-import { MessageBatcher, copyEntryData } from './message-batcher.js';
+import { MessageBatcher } from './message-batcher.js';
 import type { ConsensusBatch } from './message-batcher.js';
 import { PRESENCE_INTERVAL_MS, PeerPresence } from './peer-presence.js';
 import type { PresenceMessage } from './peer-presence.js';
@@ -458,7 +458,7 @@
     for (const [group, message] of batch) {
       if (message.to !== this.ownMemberId) continue;
       const host = this.hosts.get(group) ?? this.openGroup(group);
-      host?.receive(copyEntryData(message), nowMs);
+      host?.receive(message, nowMs);
     }
   }
 }
--- a/packages/control/src/message-batcher.ts
+++ b/packages/control/src/message-batcher.ts
@@ -3,7 +3,7 @@
  * same iteration of the event loop are sent in one frame.
  */
 import { instanceOf } from '@shedline/consensus';
-import type { ConsensusMessage, LogEntry } from '@shedline/consensus';
+import type { ConsensusMessage } from '@shedline/consensus';
 import type { PeerClient } from '@shedline/transport';
 
 /** Messages of one frame, each with its group number. */
@@ -36,13 +36,3 @@
     this.pendingBatches.clear();
   }
 }
-
-/** Copies the data of the entries, so that the message does not keep its frame in memory. */
-export function copyEntryData(message: ConsensusMessage): ConsensusMessage {
-  if (message.type !== 'append') return message;
-  const entries = message.entries.map((entry): LogEntry => ({
-    ...entry,
-    data: new Uint8Array(entry.data),
-  }));
-  return { ...message, entries };
-}
