Probe the endpoint at the end of a response without a length

Callers saw: part of a response as the whole, status 200, where an endpoint crashed in the middle of a response without a length; items of jobs could be listed as complete with part of their text. Cause: the kernel closes the connections of a killed process in order, which is how such a response ends. Change: before a response without a length counts as complete, the crash detector probes the endpoint's port, as it does after a broken response; endpoints that announced their leave are not probed. The check is in the sender, so it holds for requests and for items. Why it works: a killed endpoint's port is closed before its connections, or within the same call; one that ended its response in order listens on. Cost: one connection, and one round trip at the end, for each response without a length; no others.

--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -26,7 +26,8 @@
       isNotExecuted: value('not-executed') !== undefined,
       isSigned: value('stamp') !== undefined,
       isEventStream: value('content-type') === 'text/event-stream',
-      endsWithConnection: value('transfer-encoding') === undefined,
+      endsWithConnection:
+        value('transfer-encoding') === undefined && value('content-length') === undefined,
     };
   },
 };
@@ -49,6 +50,19 @@
   return server;
 }
 
+function createSender(hasCrashed = false): EndpointSender {
+  return new EndpointSender({
+    protocol: PROTOCOL,
+    hasCrashed: () => Promise.resolve(hasCrashed),
+  });
+}
+
+interface SendOptions {
+  readonly silenceLimitMs?: number;
+  /** Whether the endpoint counts as crashed when its response has ended. */
+  readonly hasCrashed?: boolean;
+}
+
 interface Sent {
   readonly result: SendResult;
   readonly parts: string[];
@@ -57,12 +71,13 @@
 async function sendTo(
   port: number,
   onPart: (stop: () => void) => void = () => undefined,
-  silenceLimitMs?: number,
+  { silenceLimitMs, hasCrashed = false }: SendOptions = {},
 ): Promise<Sent> {
-  const sender = new EndpointSender({ protocol: PROTOCOL });
+  const sender = createSender(hasCrashed);
   const parts: string[] = [];
   const running = sender.send(
     {
+      endpointId: 'e',
       address: `127.0.0.1:${port}`,
       requestId: REQUEST_ID,
       method: 'POST',
@@ -90,7 +105,11 @@
   return { result, parts };
 }
 
-async function sendAndRespond(bytes: string, closes: 'keep' | 'end' | 'reset'): Promise<Sent> {
+async function sendAndRespond(
+  bytes: string,
+  closes: 'keep' | 'end' | 'reset',
+  options: SendOptions = {},
+): Promise<Sent> {
   let reset = (): void => undefined;
   const server = await startEndpoint((socket) => {
     if (closes === 'reset') reset = () => socket.resetAndDestroy();
@@ -99,7 +118,8 @@
     });
   });
   // A reset that arrives together with the last bytes is covered by the tests of the connector.
-  const sent = await sendTo((server.address() as AddressInfo).port, () => setImmediate(reset));
+  const { port } = server.address() as AddressInfo;
+  const sent = await sendTo(port, () => setImmediate(reset), options);
   server.close();
   return sent;
 }
@@ -148,17 +168,46 @@
     },
   );
 
+  // The kernel closes the connections of a killed endpoint in order, also in mid-response.
+  describe('whose endpoint has crashed when its connection ends in order', () => {
+    const crashed = { hasCrashed: true };
+
+    test(title('a response without a length is truncated'), async (t) => {
+      const head = `HTTP/1.1 200 OK\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n`;
+      const { result } = await sendAndRespond(`${head}\r\npart`, 'end', crashed);
+      t.like(result, { kind: 'ended', outcome: { kind: 'brokeOff' } });
+    });
+
+    test(title('a stream without a length is truncated, also between two events'), async (t) => {
+      const head = STREAM_HEAD.replace('Transfer-Encoding: chunked\r\n', '');
+      const event = 'id: 1\ndata: a\n\n';
+      const { result, parts } = await sendAndRespond(head + event, 'end', crashed);
+      t.deepEqual(parts, [event]);
+      t.like(result, { kind: 'ended', outcome: { kind: 'brokeOff' } });
+    });
+
+    test(title('a response with a length or chunks is complete'), async (t) => {
+      const head = `HTTP/1.1 200 OK\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n`;
+      const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n${chunk('all')}0\r\n\r\n`;
+      const measured = `${head}Content-Length: 3\r\n\r\nall`;
+      for (const bytes of [chunked, measured]) {
+        t.is((await sendAndRespond(bytes, 'end', crashed)).result.kind, 'complete');
+      }
+    });
+  });
+
   test(
     title('fails the sends to a previous incarnation, but not sends that the new one responds to'),
     async (t) => {
       const sockets: Socket[] = [];
       const server = await startEndpoint((socket) => sockets.push(socket));
       const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-      const sender = new EndpointSender({ protocol: PROTOCOL });
+      const sender = createSender();
       let partCount = 0;
       const sends = [1, 2].map(() =>
         sender.send(
           {
+            endpointId: 'e',
             address,
             requestId: REQUEST_ID,
             method: 'POST',
@@ -232,7 +281,7 @@
         if (bytes !== '') socket.write(bytes);
       });
       const { port } = server.address() as AddressInfo;
-      const { result } = await sendTo(port, undefined, SILENCE_LIMIT_MS);
+      const { result } = await sendTo(port, undefined, { silenceLimitMs: SILENCE_LIMIT_MS });
       t.like(result, { kind: 'ended', outcome: { kind, isSilence: true } });
       server.close();
     }
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -17,6 +17,8 @@
 
 /** A request to one endpoint. */
 export interface Send {
+  /** Id of the endpoint's incarnation. */
+  readonly endpointId: string;
   /** `host:port` of the endpoint. */
   readonly address: string;
   readonly requestId: string;
@@ -75,21 +77,23 @@
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
   readonly protocol: EndpointProtocol;
+  /** Whether the endpoint of a send has crashed. */
+  readonly hasCrashed: (send: Send) => Promise<boolean>;
 }
 
 /** {@link RequestSender} over HTTP connections. */
 export class EndpointSender implements RequestSender {
-  private readonly protocol: EndpointProtocol;
+  private readonly options: EndpointSenderOptions;
   private readonly connections = new EndpointConnections();
   private readonly inFlight = new Map<string, Set<SendHandler>>();
 
   constructor(options: EndpointSenderOptions) {
-    this.protocol = options.protocol;
+    this.options = options;
   }
 
   /** Starts a send. */
   send(send: Send, receiver: SendReceiver): RunningSend {
-    const handler = new SendHandler(this.protocol, send, receiver);
+    const handler = new SendHandler(this.options, send, receiver);
     this.track(send.address, handler);
     const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
       method: send.method,
@@ -150,8 +154,8 @@
   readonly result: Promise<SendResult>;
   /** When bytes were last received, or the send started; on the monotonic clock. */
   lastReceivedAtMs = performance.now();
-  private readonly protocol: EndpointProtocol;
-  private readonly requestId: string;
+  private readonly options: EndpointSenderOptions;
+  private readonly request: Send;
   private readonly receiver: SendReceiver;
   private settle: (result: SendResult) => void = () => undefined;
   private controller: Dispatcher.DispatchController | undefined;
@@ -164,10 +168,10 @@
   private watchdog: ResponseWatchdog | undefined;
   private isReportedSilent = false;
 
-  constructor(protocol: EndpointProtocol, send: Send, receiver: SendReceiver) {
-    const { requestId, silence } = send;
-    this.protocol = protocol;
-    this.requestId = requestId;
+  constructor(options: EndpointSenderOptions, send: Send, receiver: SendReceiver) {
+    const { silence } = send;
+    this.options = options;
+    this.request = send;
     this.receiver = receiver;
     this.result = new Promise((resolve) => {
       this.settle = resolve;
@@ -203,12 +207,12 @@
     this.noteReceived();
     if (statusCode < 200) return;
     const raw = (controller as { rawHeaders?: (Buffer | string)[] }).rawHeaders ?? [];
-    const head = this.protocol.readHead(
+    const head = this.options.protocol.readHead(
       statusCode,
       raw.map((value) => (typeof value === 'string' ? value : value.toString('latin1'))),
     );
     this.head = head;
-    const isForeign = head.requestId !== undefined && head.requestId !== this.requestId;
+    const isForeign = head.requestId !== undefined && head.requestId !== this.request.requestId;
     if (isForeign || (head.status < 300 && !head.isSigned)) {
       const reason = isForeign
         ? 'the response belongs to another request'
@@ -247,11 +251,13 @@
     const { head } = this;
     if (head === undefined) return;
     if (this.isForwarding) {
-      const isWhole = (this.framer?.pendingBytes ?? 0) === 0;
-      const reason = 'the response ended in the middle of an event';
-      this.settleWith(
-        isWhole ? { kind: 'complete' } : { kind: 'ended', outcome: { kind: 'brokeOff', reason } },
-      );
+      if ((this.framer?.pendingBytes ?? 0) > 0) {
+        this.settleAsBroken('the response ended in the middle of an event');
+      } else if (head.endsWithConnection) {
+        void this.settleUnlessCrashed();
+      } else {
+        this.settleWith({ kind: 'complete' });
+      }
       return;
     }
     if (head.isNotExecuted) {
@@ -294,6 +300,23 @@
     if (this.errorBodyBytes <= MAX_ERROR_BODY_BYTES) this.errorBody.push(Buffer.from(chunk));
   }
 
+  /**
+   * Ends a response without a length. The kernel closes the connections of a killed endpoint in
+   * order, so the response may be truncated although its connection was not reset.
+   */
+  private async settleUnlessCrashed(): Promise<void> {
+    this.watchdog?.stop();
+    if (await this.options.hasCrashed(this.request)) {
+      this.settleAsBroken('the endpoint crashed at the end of a response without a length');
+    } else {
+      this.settleWith({ kind: 'complete' });
+    }
+  }
+
+  private settleAsBroken(reason: string): void {
+    this.settleWith({ kind: 'ended', outcome: { kind: 'brokeOff', reason } });
+  }
+
   private settleWith(result: SendResult): void {
     this.watchdog?.stop();
     this.settle(result);
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -224,6 +224,7 @@
     this.firstPartMs = undefined;
     const running = sender.send(
       {
+        endpointId,
         address,
         requestId: request.requestId,
         method: request.method,
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -166,7 +166,10 @@
 class Setup {
   readonly endpoints: readonly RelayedEndpoint[];
   readonly chooser: RoundRobinChooser;
-  private readonly sender = new EndpointSender({ protocol: PROTOCOL });
+  private readonly sender = new EndpointSender({
+    protocol: PROTOCOL,
+    hasCrashed: () => Promise.resolve(false),
+  });
   private readonly forwarder: Forwarder;
   private requestCount = 0;
   /** Number of events that callers have received. */
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -163,7 +163,10 @@
       nowMs: this.nowMs,
     });
     this.crashGuard = this.createCrashGuard();
-    this.sender = new EndpointSender({ protocol });
+    this.sender = new EndpointSender({
+      protocol,
+      hasCrashed: ({ endpointId, address }) => this.crashDetector.hasCrashed(endpointId, address),
+    });
     this.forwarder = new Forwarder({
       sender: this.sender,
       protocol,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -67,6 +67,7 @@
     const terms = { endpointId, timeLeftMs: undefined, resumeAfterEventId: this.lastEventId };
     this.sending = sender.send(
       {
+        endpointId,
         address,
         requestId: request.requestId,
         method: request.method,
