Send entries digests of heartbeats, in pages

Cause: an entry polls the control process of its zone every 300 ms, and one of the others every 1.2 s. Each reply holds a whole heartbeat (170 bytes) for each endpoint that beat since: 750 of 3,000 for the first, all for the second, 850 KB a second and entry (978 were measured). A poll that timed out was repeated from its cursor, so a slow control process was asked for 514 KB again and again. Change: a reply holds at most 256 whole heartbeats, or 2,500 digests: the fingerprint of what an endpoint says, the sequence number and the age. An entry reads whole heartbeats until it knows the first endpoints, then digests, and asks for the descriptions that it does not know. Earlier versions on either side get and send whole heartbeats as before.

--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -379,6 +379,8 @@
     switch (method) {
       case 'fleetRefresh':
         return this.refresh(payload as RefreshRequest);
+      case 'endpointDescriptions':
+        return this.registry.withFingerprints(payload as number[], this.nowMs());
       case 'fleetState':
         return this.stateSince(payload as FleetPosition);
       case 'retire':
@@ -406,9 +408,13 @@
 
   /** Returns the state known to this process, which may lag; not for linearizable reads. */
   private refresh(request: RefreshRequest): RefreshAnswer {
+    const { epoch, cursor, maxHeartbeats = Infinity, wantsDigests = false } = request;
+    const nowMs = this.nowMs();
     return {
       ...this.stateSince(request.position),
-      endpoints: this.registry.since(request.epoch, request.cursor, this.nowMs()),
+      endpoints: wantsDigests
+        ? this.registry.digestsSince({ epoch, cursor }, nowMs, maxHeartbeats)
+        : this.registry.since(epoch, cursor, nowMs, maxHeartbeats),
     };
   }
 
--- a/packages/fleet-control/src/protocol.ts
+++ b/packages/fleet-control/src/protocol.ts
@@ -1,7 +1,7 @@
 /**
  * Requests between the processes of a fleet.
  */
-import type { FleetDelta, FleetPosition, RegistryDelta } from '@shedline/fleet';
+import type { DigestDelta, FleetDelta, FleetPosition, RegistryDelta } from '@shedline/fleet';
 import type {
   CommitRuns,
   ItemProgress,
@@ -17,6 +17,10 @@
   /** Epoch of the endpoint registry that the cursor belongs to. */
   readonly epoch: string;
   readonly cursor: number;
+  /** Maximum number of heartbeats in the reply; earlier versions omit it and get all. */
+  readonly maxHeartbeats?: number;
+  /** Whether the reader wants digests; earlier versions omit it and get whole heartbeats. */
+  readonly wantsDigests?: boolean;
 }
 
 /** The changes of the fleet state that a control process has applied. */
@@ -31,7 +35,7 @@
 
 /** The changes since the position and the cursor of a {@link RefreshRequest}. */
 export interface RefreshAnswer extends StateAnswer {
-  readonly endpoints: RegistryDelta;
+  readonly endpoints: RegistryDelta | DigestDelta;
 }
 
 /** A job as an entry submits it; the leader adds the time of its clock. */
--- a/packages/fleet/src/endpoint-registry.ts
+++ b/packages/fleet/src/endpoint-registry.ts
@@ -3,6 +3,8 @@
  * requests only the changes since its last read.
  */
 import type { EndpointRun } from './endpoint-run.js';
+import { fingerprintOf, hasSameDescription } from './heartbeat-digest.js';
+import type { HeartbeatDigest } from './heartbeat-digest.js';
 
 /** A heartbeat as an endpoint sends it. */
 export interface EndpointHeartbeat extends EndpointRun {
@@ -24,12 +26,24 @@
   readonly ageMs: number;
 }
 
-/** The heartbeats that changed after a cursor. */
-export interface RegistryDelta {
+/** Position of a reader in the changes of a registry. */
+export interface RegistryCursor {
   /** Identifies the registry; a cursor is valid only for the registry that returned it. */
   readonly epoch: string;
   readonly cursor: number;
+}
+
+/** A page of the heartbeats that changed after a cursor. */
+export interface RegistryDelta extends RegistryCursor {
   readonly heartbeats: readonly AgedHeartbeat[];
+  /** Whether further heartbeats follow the new cursor; omitted by earlier versions. */
+  readonly hasMore?: boolean;
+}
+
+/** A page of the digests of the heartbeats that changed after a cursor. */
+export interface DigestDelta extends RegistryCursor {
+  readonly digests: readonly HeartbeatDigest[];
+  readonly hasMore: boolean;
 }
 
 /** Time without a heartbeat after which an endpoint is removed. */
@@ -39,11 +53,13 @@
   readonly heartbeat: EndpointHeartbeat;
   readonly receivedAtMs: number;
   readonly changeNumber: number;
+  readonly fingerprint: number;
 }
 
 /** Holds the latest heartbeat of the latest incarnation of each endpoint. */
 export class EndpointRegistry {
   private readonly epoch: string;
+  /** In the order of their change numbers. */
   private readonly latest = new Map<string, ReceivedHeartbeat>();
   private counter = 0;
 
@@ -64,23 +80,61 @@
     const known = this.latest.get(heartbeat.endpointId);
     if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) return false;
     this.counter += 1;
-    const receivedAtMs = nowMs - ageMs;
+    const fingerprint =
+      known !== undefined && hasSameDescription(known.heartbeat, heartbeat)
+        ? known.fingerprint
+        : fingerprintOf(heartbeat);
+    this.latest.delete(heartbeat.endpointId);
     this.latest.set(heartbeat.endpointId, {
       heartbeat,
-      receivedAtMs,
+      receivedAtMs: nowMs - ageMs,
       changeNumber: this.counter,
+      fingerprint,
     });
     return true;
   }
 
-  /** Returns the heartbeats after a cursor of the same epoch, or all if the epoch differs. */
-  since(epoch: string, cursor: number, nowMs: number): RegistryDelta {
+  /**
+   * Returns at most `maxCount` heartbeats after a cursor of the same epoch, or of all if the epoch
+   * differs.
+   */
+  since(epoch: string, cursor: number, nowMs: number, maxCount = Infinity): RegistryDelta {
+    const { changes, ...position } = this.changesSince({ epoch, cursor }, maxCount);
+    return { ...position, heartbeats: changes.map((change) => agedHeartbeatOf(change, nowMs)) };
+  }
+
+  /** Like {@link since}, with the digests of the heartbeats. */
+  digestsSince(reader: RegistryCursor, nowMs: number, maxCount: number): DigestDelta {
+    const { changes, ...position } = this.changesSince(reader, maxCount);
+    const digests = changes.map(({ fingerprint, heartbeat, receivedAtMs }): HeartbeatDigest => {
+      return [fingerprint, heartbeat.sequence, Math.round(nowMs - receivedAtMs)];
+    });
+    return { ...position, digests };
+  }
+
+  /** Returns the heartbeats whose descriptions have these fingerprints. */
+  withFingerprints(fingerprints: readonly number[], nowMs: number): AgedHeartbeat[] {
+    const wanted = new Set(fingerprints);
+    return [...this.latest.values()]
+      .filter(({ fingerprint }) => wanted.has(fingerprint))
+      .map((received) => agedHeartbeatOf(received, nowMs));
+  }
+
+  private changesSince(
+    { epoch, cursor }: RegistryCursor,
+    maxCount: number,
+  ): RegistryCursor & { readonly changes: ReceivedHeartbeat[]; readonly hasMore: boolean } {
     const from = epoch === this.epoch ? cursor : 0;
-    const heartbeats: AgedHeartbeat[] = [];
-    for (const { heartbeat, receivedAtMs, changeNumber } of this.latest.values()) {
-      if (changeNumber > from) heartbeats.push({ heartbeat, ageMs: nowMs - receivedAtMs });
+    const changes: ReceivedHeartbeat[] = [];
+    for (const received of this.latest.values()) {
+      if (received.changeNumber <= from) continue;
+      const last = changes.at(-1);
+      if (changes.length >= maxCount && last !== undefined) {
+        return { epoch: this.epoch, cursor: last.changeNumber, changes, hasMore: true };
+      }
+      changes.push(received);
     }
-    return { epoch: this.epoch, cursor: this.counter, heartbeats };
+    return { epoch: this.epoch, cursor: this.counter, changes, hasMore: false };
   }
 
   /** Removes endpoints without a recent heartbeat. */
@@ -91,6 +145,10 @@
   }
 }
 
+function agedHeartbeatOf(received: ReceivedHeartbeat, nowMs: number): AgedHeartbeat {
+  return { heartbeat: received.heartbeat, ageMs: nowMs - received.receivedAtMs };
+}
+
 /** Sequences restart with each incarnation, so only those of one incarnation are compared. */
 function isNewer(heartbeat: EndpointHeartbeat, known: EndpointHeartbeat): boolean {
   if (heartbeat.startedAtMs !== known.startedAtMs) return heartbeat.startedAtMs > known.startedAtMs;
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -4,12 +4,18 @@
 import { configurationProblem } from './configuration.js';
 import type { Configuration, Route } from './configuration.js';
 import { EndpointRegistry } from './endpoint-registry.js';
+import type { EndpointHeartbeat, RegistryCursor } from './endpoint-registry.js';
 import { endpointIdOf, runIdOf } from './endpoint-run.js';
 import { FleetState } from './fleet-state.js';
 import type { FleetCommand } from './fleet-state.js';
+import { KnownDescriptions } from './heartbeat-digest.js';
 import { KnownFleet } from './known-fleet.js';
 import { RouteTable, chooseService, hostName } from './route-table.js';
 
+function byEndpointId(a: EndpointHeartbeat, b: EndpointHeartbeat): number {
+  return a.endpointId < b.endpointId ? -1 : 1;
+}
+
 function route(change: Partial<Route> = {}): Route {
   return {
     name: 'r',
@@ -259,6 +265,67 @@
     t.is(registry.since('', 0, 60_000).heartbeats.length, 0);
   });
 
+  test(title('returns pages in the order of the changes, each change once'), (t) => {
+    const registry = new EndpointRegistry('epoch');
+    const named = (endpointId: string, sequence: number) => ({
+      ...heartbeat(sequence),
+      endpointId,
+    });
+    for (const id of ['a', 'b', 'c']) registry.record(named(id, 1), 0, 100);
+    const first = registry.since('', 0, 100, 2);
+    t.deepEqual(
+      first.heartbeats.map((aged) => aged.heartbeat.endpointId),
+      ['a', 'b'],
+    );
+    t.true(first.hasMore);
+    registry.record(named('a', 2), 0, 150);
+    const second = registry.since('epoch', first.cursor, 150, 2);
+    t.deepEqual(
+      second.heartbeats.map((aged) => [aged.heartbeat.endpointId, aged.heartbeat.sequence]),
+      [
+        ['c', 1],
+        ['a', 2],
+      ],
+    );
+    t.false(second.hasMore);
+  });
+
+  test(title('a digest and its description stand for the same heartbeat'), (t) => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.nat(3), fc.nat(2), fc.nat(20), fc.nat(2)), { maxLength: 30 }),
+        (steps) => {
+          const registry = new EndpointRegistry('epoch');
+          const known = new KnownDescriptions();
+          let cursor: RegistryCursor = { epoch: '', cursor: 0 };
+          const read = new Map<string, EndpointHeartbeat>();
+          for (const [id, startedAtMs, sequence, warmUpLeftMs] of steps) {
+            const endpointId = `e${id}`;
+            registry.record(
+              { ...heartbeat(sequence, startedAtMs), endpointId, warmUpLeftMs },
+              0,
+              5,
+            );
+            const delta = registry.digestsSince(cursor, 7, 2);
+            cursor = delta;
+            const { heartbeats, unknownFingerprints } = known.resolve(delta.digests, 7);
+            const described = registry.withFingerprints(unknownFingerprints, 7);
+            known.learn(described, 7);
+            for (const aged of [...heartbeats, ...described]) {
+              read.set(aged.heartbeat.endpointId, aged.heartbeat);
+            }
+            const expected = registry.since('', 0, 7).heartbeats.map((aged) => aged.heartbeat);
+            t.deepEqual(
+              [...read.values()].sort(byEndpointId),
+              expected.sort(byEndpointId),
+              'the reader is up to date',
+            );
+          }
+        },
+      ),
+    );
+  });
+
   test(title('rejects heartbeats of an incarnation after those of a newer one'), (t) => {
     const registry = new EndpointRegistry('epoch');
     t.true(registry.record(heartbeat(40, 1000), 0, 100));
--- /dev/null
+++ b/packages/fleet/src/heartbeat-digest.ts
@@ -0,0 +1,98 @@
+/**
+ * Short form of heartbeats. Nearly all heartbeats repeat what the previous one of their endpoint said,
+ * so a reader that knows the description of an endpoint needs only its fingerprint.
+ */
+import { sha256Hex } from '@shedline/types';
+import type { AgedHeartbeat, EndpointHeartbeat } from './endpoint-registry.js';
+
+/** 48 bits: an exact integer, and collisions are negligible among 100,000 endpoints. */
+const FINGERPRINT_HEX_DIGITS = 12;
+/** Time for which an unused description is kept; longer than a round over all control processes. */
+const KEEP_UNUSED_MS = 60_000;
+
+/** Fingerprint of the description, sequence number, and age in whole milliseconds. */
+export type HeartbeatDigest = readonly [fingerprint: number, sequence: number, ageMs: number];
+
+/** Returns the fingerprint of all that a heartbeat says, except its sequence number. */
+export function fingerprintOf(heartbeat: EndpointHeartbeat): number {
+  const text = JSON.stringify(descriptionOf(heartbeat));
+  return parseInt(sha256Hex(text).slice(0, FINGERPRINT_HEX_DIGITS), 16);
+}
+
+/** Whether two heartbeats differ at most in their sequence numbers. */
+export function hasSameDescription(a: EndpointHeartbeat, b: EndpointHeartbeat): boolean {
+  const values = descriptionOf(b);
+  return descriptionOf(a).every((value, index) => value === values[index]);
+}
+
+function descriptionOf(heartbeat: EndpointHeartbeat): readonly (string | number)[] {
+  const { endpointId, startedAtMs, service, address } = heartbeat;
+  const { availabilityZone, slots, warmUpLeftMs } = heartbeat;
+  return [endpointId, startedAtMs, service, address, availabilityZone, slots, warmUpLeftMs];
+}
+
+/** The heartbeats that digests stand for, and the fingerprints without a known description. */
+export interface ResolvedDigests {
+  readonly heartbeats: readonly AgedHeartbeat[];
+  readonly unknownFingerprints: readonly number[];
+}
+
+interface KnownDescription {
+  readonly heartbeat: EndpointHeartbeat;
+  usedAtMs: number;
+}
+
+/** Descriptions of endpoints that a reader has received, by fingerprint. */
+export class KnownDescriptions {
+  private readonly known = new Map<number, KnownDescription>();
+  private readonly fingerprints = new Map<string, number>();
+
+  /** Whether no description is known. */
+  get isEmpty(): boolean {
+    return this.known.size === 0;
+  }
+
+  /** Keeps the descriptions in whole heartbeats. */
+  learn(heartbeats: readonly AgedHeartbeat[], nowMs: number): void {
+    for (const { heartbeat } of heartbeats) {
+      const fingerprint = this.knownFingerprintOf(heartbeat) ?? fingerprintOf(heartbeat);
+      this.fingerprints.set(heartbeat.endpointId, fingerprint);
+      this.known.set(fingerprint, { heartbeat, usedAtMs: nowMs });
+    }
+  }
+
+  /** Returns the heartbeats that digests stand for. */
+  resolve(digests: readonly HeartbeatDigest[], nowMs: number): ResolvedDigests {
+    const heartbeats: AgedHeartbeat[] = [];
+    const unknownFingerprints: number[] = [];
+    for (const [fingerprint, sequence, ageMs] of digests) {
+      const description = this.known.get(fingerprint);
+      if (description === undefined) {
+        unknownFingerprints.push(fingerprint);
+        continue;
+      }
+      description.usedAtMs = nowMs;
+      heartbeats.push({ heartbeat: { ...description.heartbeat, sequence }, ageMs });
+    }
+    return { heartbeats, unknownFingerprints };
+  }
+
+  /** Removes descriptions that were not used for a while, as of endpoints that no longer exist. */
+  forgetUnused(nowMs: number): void {
+    for (const [fingerprint, { heartbeat, usedAtMs }] of this.known) {
+      if (nowMs - usedAtMs <= KEEP_UNUSED_MS) continue;
+      this.known.delete(fingerprint);
+      if (this.fingerprints.get(heartbeat.endpointId) === fingerprint) {
+        this.fingerprints.delete(heartbeat.endpointId);
+      }
+    }
+  }
+
+  private knownFingerprintOf(heartbeat: EndpointHeartbeat): number | undefined {
+    const fingerprint = this.fingerprints.get(heartbeat.endpointId);
+    if (fingerprint === undefined) return undefined;
+    const description = this.known.get(fingerprint);
+    if (description === undefined) return undefined;
+    return hasSameDescription(description.heartbeat, heartbeat) ? fingerprint : undefined;
+  }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
 export * from './endpoint-registry.js';
 export * from './endpoint-run.js';
 export * from './fleet-state.js';
+export * from './heartbeat-digest.js';
 export * from './known-fleet.js';
 export * from './route-table.js';
 export * from './workspace.js';
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -12,6 +12,7 @@
 import type { Logger } from '@shedline/logger';
 import type { CrashChanges } from '@shedline/quarantine';
 import type { PeerConnections, PeerClient } from '@shedline/transport';
+import { EndpointFeed } from './endpoint-feed.js';
 import { StateFreshness } from './state-freshness.js';
 
 /** Polling interval; short enough that a change is in force within the 2 s that operators allow. */
@@ -55,7 +56,7 @@
   readonly fleet = new KnownFleet();
   private readonly options: FleetFollowerOptions;
   private readonly freshness: StateFreshness;
-  private readonly endpointCursors = new Map<string, { epoch: string; cursor: number }>();
+  private readonly endpoints: EndpointFeed;
   private readonly pendingControls = new Set<string>();
   private timer: NodeJS.Timeout | undefined;
   private refreshCount = 0;
@@ -71,11 +72,15 @@
    * after a restart.
    */
   private readonly earlyDeltas: { readonly delta: FleetDelta; readonly from: string }[] = [];
-  private hasEndpoints = false;
 
   constructor(options: FleetFollowerOptions) {
     this.options = options;
     const { logger, nowMs, controls } = options;
+    this.endpoints = new EndpointFeed({
+      nowMs,
+      requestTimeoutMs: REFRESH_TIMEOUT_MS,
+      onHeartbeats: options.onHeartbeats,
+    });
     this.freshness = new StateFreshness({
       logger,
       nowMs,
@@ -139,10 +144,9 @@
     this.options.onLeaving(newlyLeaving);
   }
 
-  /** Handles pushed or polled heartbeats. */
+  /** Handles pushed heartbeats. */
   handleHeartbeats(heartbeats: readonly AgedHeartbeat[]): void {
-    this.hasEndpoints ||= heartbeats.length > 0;
-    this.options.onHeartbeats(heartbeats);
+    this.endpoints.receive(heartbeats);
   }
 
   /**
@@ -151,7 +155,7 @@
    */
   private async discoverEndpoints(): Promise<void> {
     let pauseMs = FIRST_DISCOVERY_PAUSE_MS;
-    while (!this.isStopped && !this.hasEndpoints && pauseMs < REFRESH_INTERVAL_MS) {
+    while (!this.isStopped && this.endpoints.isEmpty && pauseMs < REFRESH_INTERVAL_MS) {
       this.refresh();
       await pause(pauseMs);
       pauseMs *= DISCOVERY_PAUSE_GROWTH;
@@ -235,20 +239,28 @@
   private async refreshFrom(control: PeerClient): Promise<void> {
     const { peerName } = control;
     this.pendingControls.add(peerName);
-    const known = this.endpointCursors.get(peerName) ?? { epoch: '', cursor: 0 };
-    const request: RefreshRequest = { position: this.fleet.position, ...known };
-    const askedAtMs = this.options.nowMs();
     try {
-      const raw = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
-      const { endpoints, ...state } = raw as RefreshAnswer;
-      this.lastReplyAtMs = this.options.nowMs();
-      if (this.hasReadQuorum) this.applyState(state, peerName, askedAtMs);
-      this.endpointCursors.set(peerName, { epoch: endpoints.epoch, cursor: endpoints.cursor });
-      this.handleHeartbeats(endpoints.heartbeats);
+      let hasMore = true;
+      while (hasMore && !this.isStopped) hasMore = await this.readPage(control);
     } catch (error) {
       this.logFailedRefresh(peerName, error);
     } finally {
       this.pendingControls.delete(peerName);
     }
   }
+
+  /** Reads the next page of changes; returns whether more follow. */
+  private async readPage(control: PeerClient): Promise<boolean> {
+    const { peerName } = control;
+    const request: RefreshRequest = {
+      position: this.fleet.position,
+      ...this.endpoints.requestFor(peerName),
+    };
+    const askedAtMs = this.options.nowMs();
+    const reply = await control.request('fleetRefresh', request, REFRESH_TIMEOUT_MS);
+    const { endpoints, ...state } = reply as RefreshAnswer;
+    this.lastReplyAtMs = this.options.nowMs();
+    if (this.hasReadQuorum) this.applyState(state, peerName, askedAtMs);
+    return this.endpoints.apply(control, endpoints);
+  }
 }
