Probe for responses with a body only, and for error responses too

An error response without a length was forwarded as whole although its endpoint had crashed in it. Change: responses without a body are complete with their head. An error response without a length whose endpoint crashed counts as lost, so a request that may be repeated is sent again. Tests: "a response with a length, with chunks or without a body is complete" fails without the first part; "an error response without a length is lost" is new.

--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -178,6 +178,12 @@
       t.like(result, { kind: 'ended', outcome: { kind: 'brokeOff' } });
     });
 
+    test(title('an error response without a length is lost'), async (t) => {
+      const head = `HTTP/1.1 500 Failed\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n`;
+      const { result } = await sendAndRespond(`${head}\r\npart`, 'end', crashed);
+      t.like(result, { kind: 'ended', outcome: { kind: 'lost' } });
+    });
+
     test(title('a stream without a length is truncated, also between two events'), async (t) => {
       const head = STREAM_HEAD.replace('Transfer-Encoding: chunked\r\n', '');
       const event = 'id: 1\ndata: a\n\n';
@@ -186,14 +192,18 @@
       t.like(result, { kind: 'ended', outcome: { kind: 'brokeOff' } });
     });
 
-    test(title('a response with a length or chunks is complete'), async (t) => {
-      const head = `HTTP/1.1 200 OK\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n`;
-      const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n${chunk('all')}0\r\n\r\n`;
-      const measured = `${head}Content-Length: 3\r\n\r\nall`;
-      for (const bytes of [chunked, measured]) {
-        t.is((await sendAndRespond(bytes, 'end', crashed)).result.kind, 'complete');
-      }
-    });
+    test(
+      title('a response with a length, with chunks or without a body is complete'),
+      async (t) => {
+        const head = `HTTP/1.1 200 OK\r\nStamp: s\r\nId: ${REQUEST_ID}\r\n`;
+        const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n${chunk('all')}0\r\n\r\n`;
+        const measured = `${head}Content-Length: 3\r\n\r\nall`;
+        const empty = head.replace('200 OK', '204 No Content') + '\r\n';
+        for (const bytes of [chunked, measured, empty]) {
+          t.is((await sendAndRespond(bytes, 'end', crashed)).result.kind, 'complete');
+        }
+      },
+    );
   });
 
   test(
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -12,6 +12,7 @@
 
 /** Server name passed to the HTTP client; not used, since connections to endpoints have no TLS. */
 const PLACEHOLDER_SERVER_NAME = 'none';
+const STATUS_NO_CONTENT = 204;
 /** Maximum size of an error response body that is buffered for the caller. */
 const MAX_ERROR_BODY_BYTES = 1024 * 1024;
 
@@ -250,21 +251,19 @@
   onResponseEnd(): void {
     const { head } = this;
     if (head === undefined) return;
-    if (this.isForwarding) {
-      if ((this.framer?.pendingBytes ?? 0) > 0) {
-        this.settleAsBroken('the response ended in the middle of an event');
-      } else if (head.endsWithConnection) {
-        void this.settleUnlessCrashed();
-      } else {
-        this.settleWith({ kind: 'complete' });
-      }
+    if (!this.isForwarding && head.isNotExecuted) {
+      this.settleWith({ kind: 'ended', outcome: { kind: 'refused', status: head.status } });
       return;
     }
-    if (head.isNotExecuted) {
-      this.settleWith({ kind: 'ended', outcome: { kind: 'refused', status: head.status } });
+    if ((this.framer?.pendingBytes ?? 0) > 0) {
+      this.settleAsBroken('the response ended in the middle of an event');
       return;
     }
-    this.settleWith({ kind: 'failure', head, body: Buffer.concat(this.errorBody) });
+    const result: SendResult = this.isForwarding
+      ? { kind: 'complete' }
+      : { kind: 'failure', head, body: Buffer.concat(this.errorBody) };
+    if (head.endsWithConnection && this.hasBody(head)) void this.settleUnlessCrashed(result);
+    else this.settleWith(result);
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -278,8 +277,7 @@
       this.settleWith({ kind: 'ended', outcome: { kind: 'refused', status: this.head.status } });
       return;
     }
-    const kind = this.isForwarding ? 'brokeOff' : 'lost';
-    this.settleWith({ kind: 'ended', outcome: { kind, reason } });
+    this.settleAsBroken(reason);
   }
 
   private noteReceived(): void {
@@ -300,21 +298,27 @@
     if (this.errorBodyBytes <= MAX_ERROR_BODY_BYTES) this.errorBody.push(Buffer.from(chunk));
   }
 
+  /** Whether the response has a body; without one it ends with its head. */
+  private hasBody({ status }: EndpointHead): boolean {
+    return this.request.method !== 'HEAD' && status !== STATUS_NO_CONTENT;
+  }
+
   /**
    * Ends a response without a length. The kernel closes the connections of a killed endpoint in
    * order, so the response may be truncated although its connection was not reset.
    */
-  private async settleUnlessCrashed(): Promise<void> {
+  private async settleUnlessCrashed(result: SendResult): Promise<void> {
     this.watchdog?.stop();
     if (await this.options.hasCrashed(this.request)) {
       this.settleAsBroken('the endpoint crashed at the end of a response without a length');
     } else {
-      this.settleWith({ kind: 'complete' });
+      this.settleWith(result);
     }
   }
 
   private settleAsBroken(reason: string): void {
-    this.settleWith({ kind: 'ended', outcome: { kind: 'brokeOff', reason } });
+    const kind = this.isForwarding ? 'brokeOff' : 'lost';
+    this.settleWith({ kind: 'ended', outcome: { kind, reason } });
   }
 
   private settleWith(result: SendResult): void {
