Probe an endpoint's port some milliseconds after its connection ended

Cause: the endpoint closes its connections a moment before its port; the entry probed in between and found it open. Change: the crash detector waits 30 ms before it probes. Cost: the end of a response without a length is 30 ms later; others are not concerned.

--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -38,6 +38,13 @@
     t.deepEqual(setup.crashed, ['crashed']);
   });
 
+  test(title('detects a port that closes shortly after the connections'), async (t) => {
+    const setup = new Setup();
+    setup.state = 'open';
+    setTimeout(() => (setup.state = 'closed'), 5);
+    t.true(await setup.detector.hasCrashed('e', ADDRESS));
+  });
+
   test(title('probes once for all responses that break together'), async (t) => {
     const setup = new Setup();
     const results = await Promise.all(
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -4,6 +4,7 @@
  * same id. An endpoint that announced that it drains has not crashed, and an unresponsive one may
  * be partitioned.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { ListeningProbe } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 
@@ -12,6 +13,11 @@
  * heartbeat of a restarted endpoint arrives 2 to 4 s later.
  */
 const RESTART_EVIDENCE_MS = 10_000;
+/**
+ * Time between the end of a connection and the probe. A process that ends may close its connections
+ * some milliseconds before its port.
+ */
+const PROBE_DELAY_MS = 30;
 /** Time for which a detected crash is not probed again; all its connections break within ms. */
 const KNOWN_CRASH_MS = 1000;
 
@@ -96,6 +102,7 @@
   }
 
   private async probePort(endpointId: string, address: string): Promise<boolean> {
+    await pause(PROBE_DELAY_MS);
     const state = await this.options.probe.probe(address);
     // The endpoint may have announced that it drains, and stopped, during the probe.
     if (state !== 'closed' || this.options.isLeaving(endpointId)) return false;
