--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -7,11 +7,12 @@
 import { createParser } from 'eventsource-parser';
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
-import { ShedlineError, errorFromBody, toShedlineError } from '@shedline/errors';
-import type { ErrorBody } from '@shedline/errors';
+import { ShedlineError, toShedlineError } from '@shedline/errors';
 import { connectorWithin } from '@shedline/http-connector';
 import { DEADLINE_HEADER, SESSION_HEADER } from '@shedline/types';
 import type { JobView } from '@shedline/types';
+import { ChatStream } from './chat-stream.js';
+import type { ChatAnswer } from './chat-stream.js';
 import { EntryAddresses } from './entry-addresses.js';
 import { exchange, textOf } from './http-exchange.js';
 import type { Exchange } from './http-exchange.js';
@@ -44,12 +45,6 @@
   readonly signal?: AbortSignal;
 }
 
-/** The complete text of a streamed response. */
-export interface ChatAnswer {
-  readonly text: string;
-  readonly finishReason: string;
-}
-
 /** Options of {@link ShedlineClient.chat}. */
 export interface ChatOptions {
   readonly service: string;
@@ -70,17 +65,6 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** State of a streamed request over all its attempts. */
-interface StreamState {
-  /** Text that was passed to the caller. */
-  deliveredText: string;
-  /** Text that the current attempt has received. */
-  attemptText: string;
-  finishReason: string;
-  isDone: boolean;
-  error: ShedlineError | undefined;
-}
-
 /** Client of the HTTP API of shedline. */
 export class ShedlineClient {
   private readonly options: ShedlineClientOptions;
@@ -128,13 +112,7 @@
 
   /** Sends a chat request; returns the complete response, or throws an error. */
   async chat(options: ChatOptions): Promise<ChatAnswer> {
-    const state: StreamState = {
-      deliveredText: '',
-      attemptText: '',
-      finishReason: '',
-      isDone: false,
-      error: undefined,
-    };
+    const stream = new ChatStream(options.onText);
     const call: CallOptions = {
       method: 'POST',
       path: '/v1/chat/completions',
@@ -149,8 +127,8 @@
       ...(options.deadlineMs === undefined ? {} : { deadlineMs: options.deadlineMs }),
       ...(options.signal === undefined ? {} : { signal: options.signal }),
     };
-    await this.withRetries(call, (url) => this.streamOnce(url, call, state, options.onText));
-    return { text: state.deliveredText, finishReason: state.finishReason };
+    await this.withRetries(call, (url) => this.streamOnce(url, call, stream));
+    return stream.answer;
   }
 
   /** Creates a job, uploads its items and seals it. Idempotent for the same `jobKey`. */
@@ -301,81 +279,22 @@
     }
   }
 
-  private async streamOnce(
-    url: string,
-    call: CallOptions,
-    state: StreamState,
-    onText: ChatOptions['onText'],
-  ): Promise<void> {
-    state.attemptText = '';
-    state.finishReason = '';
-    clearError(state);
+  private async streamOnce(url: string, call: CallOptions, stream: ChatStream): Promise<void> {
+    stream.beginAttempt();
     const response = await this.send(url, call);
     const parser = createParser({
       onEvent: ({ data }) => {
-        applyEvent(state, data, onText);
+        stream.apply(data);
       },
     });
     const decoder = new TextDecoder();
     for await (const bytes of response.body) {
       parser.feed(decoder.decode(bytes, { stream: true }));
     }
-    const failure = errorOf(state);
-    if (failure !== undefined) throw failure;
-    if (state.isDone) return;
-    const message = `${url} ended the response before it was complete`;
-    throw new ShedlineError({
-      type: 'unavailable',
-      message,
-      step: call.path,
-      peer: url,
-      ran: 'unknown',
-    });
+    stream.endAttempt({ url, path: call.path });
   }
 }
 
-/**
- * Applies a stream event. A retried response starts from the beginning: text that was already
- * delivered is skipped.
- */
-function applyEvent(state: StreamState, data: string, onText: ChatOptions['onText']): void {
-  if (data === '[DONE]') {
-    state.isDone = state.finishReason !== '';
-    return;
-  }
-  const chunk = JSON.parse(data) as {
-    error?: ErrorBody;
-    choices?: { delta?: { content?: string }; finish_reason?: string | null }[];
-  };
-  if (chunk.error !== undefined) state.error = errorFromBody(chunk.error);
-  const choice = chunk.choices?.[0];
-  state.finishReason = choice?.finish_reason ?? state.finishReason;
-  const text = choice?.delta?.content ?? '';
-  if (text === '') return;
-  state.attemptText += text;
-  if (!state.attemptText.startsWith(state.deliveredText)) {
-    if (state.deliveredText.startsWith(state.attemptText)) return;
-    state.error = new ShedlineError({
-      type: 'endpoint_failed',
-      message: 'the response of the retry differs from the part that was already delivered',
-      step: 'continue answer',
-      ran: 'yes',
-    });
-    return;
-  }
-  const newText = state.attemptText.slice(state.deliveredText.length);
-  state.deliveredText = state.attemptText;
-  if (newText !== '') onText?.(newText);
-}
-
-function clearError(state: StreamState): void {
-  state.error = undefined;
-}
-
-function errorOf(state: StreamState): ShedlineError | undefined {
-  return state.error;
-}
-
 function isConnectionError(error: ShedlineError): boolean {
   return error.type === 'unavailable' && error.cause !== undefined;
 }
