Promote only learners that reply to the leader

What callers saw: during a partition of the core, the side with two voters of three acknowledged no configuration and no drain until the partition healed.

Cause: a voter is replaced after 2.5 s of silence, a spare counts as up for 3 s after its last announcement. A learner counted as caught up if it lacked at most 64 entries, so in a short log one that had received nothing was promoted 250 ms after it had been added. With four voters, two of them on the other side, nothing is committed, and only the new quorum could undo the promotion.

Change: a learner is promoted only if it has replied to this leader within the election timeout.

--- a/packages/consensus/src/consensus.test.ts
+++ b/packages/consensus/src/consensus.test.ts
@@ -167,7 +167,35 @@
   return group.acknowledged.size - before;
 }
 
+/**
+ * Counts commands acknowledged while a voter and the spare are on the other side of a partition.
+ * The spare still counts as up when the leader adds it.
+ */
+function acknowledgedWithUnreachableSpare(seed: number): number {
+  const group = new FakeGroup({ random: seededRandom(seed), voters: 3, spares: 1 });
+  group.run(1500);
+  const leader = instanceName(group.leader()?.memberId) ?? '';
+  const lost = group.names.find((name) => name !== leader && name !== 'd') ?? '';
+  group.isolate(lost);
+  group.isolate('d');
+  for (let round = 0; round < 40; round += 1) {
+    group.run(100);
+    group.repair();
+  }
+  const before = group.acknowledged.size;
+  for (let n = 0; n < 10; n += 1) group.propose(leader);
+  group.run(1000);
+  return group.acknowledged.size - before;
+}
+
 describe('Consensus', () => {
+  // An unreachable spare was promoted in a short log, and the majority then committed nothing.
+  test(title('a majority commits while a voter and the spare are unreachable'), (t) => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      t.is(acknowledgedWithUnreachableSpare(seed), 10, `seed ${seed}`);
+    }
+  });
+
   test(
     title('keeps its properties under crashes, partitions, wiped disks and clock drift'),
     (t) => {
--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -65,6 +65,15 @@
   | { readonly accepted: true; readonly index: number; readonly term: number }
   | { readonly accepted: false; readonly leaderId: string };
 
+/** Replication progress of another member, as seen by the leader. */
+export interface MemberProgress {
+  readonly matchIndex: number;
+  /** Time since the last reply of the member, or since the leader was elected if none came. */
+  readonly lastContactAgoMs: number;
+  /** Time since the last reply of the member to this leader; infinite if none came. */
+  readonly lastReplyAgoMs: number;
+}
+
 /** Member of a consensus group. */
 export class Consensus {
   readonly memberId: string;
@@ -178,15 +187,16 @@
   }
 
   /**
-   * Returns the matching index of each other member and the time since its last message. Empty
-   * unless this member is or was the leader.
+   * Returns the replication progress of each other member. Empty unless this member is or was the
+   * leader.
    */
-  memberProgress(): ReadonlyMap<string, { matchIndex: number; lastContactAgoMs: number }> {
-    const result = new Map<string, { matchIndex: number; lastContactAgoMs: number }>();
+  memberProgress(): ReadonlyMap<string, MemberProgress> {
+    const result = new Map<string, MemberProgress>();
     for (const [memberId, progress] of this.followers.all) {
       result.set(memberId, {
         matchIndex: progress.matchIndex,
         lastContactAgoMs: this.nowMs - progress.lastContactMs,
+        lastReplyAgoMs: this.nowMs - progress.lastReplyMs,
       });
     }
     return result;
@@ -723,7 +733,9 @@
   private recordContact(memberId: string): Progress | undefined {
     if (this.currentRole !== 'leader') return undefined;
     const progress = this.followers.get(memberId);
-    if (progress !== undefined) progress.lastContactMs = this.nowMs;
+    if (progress === undefined) return undefined;
+    progress.lastContactMs = this.nowMs;
+    progress.lastReplyMs = this.nowMs;
     return progress;
   }
 
--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -225,6 +225,7 @@
         {
           memberId,
           lastContactAgoMs: progress.lastContactAgoMs,
+          lastReplyAgoMs: progress.lastReplyAgoMs,
           lagEntries: leader.core.commitIndex - progress.matchIndex,
         },
       ]),
@@ -236,6 +237,7 @@
       liveIds: this.up().map((member) => member.memberId),
       targetVoters: this.targetVoters,
       replaceAfterMs: REPLACE_AFTER_MS,
+      maxReplyAgeMs: ELECTION_TIMEOUT_MS,
       maxLagEntries: 2,
     });
     if (next !== undefined) leader.core.proposeConfig(next);
--- a/packages/consensus/src/membership-planner.ts
+++ b/packages/consensus/src/membership-planner.ts
@@ -8,6 +8,8 @@
   readonly memberId: string;
   /** Time since the last message from the member. */
   readonly lastContactAgoMs: number;
+  /** Time since the last reply of the member to this leader; infinite if none came. */
+  readonly lastReplyAgoMs: number;
   /** Number of committed entries that the member lacks. */
   readonly lagEntries: number;
 }
@@ -24,6 +26,8 @@
   readonly targetVoters: number;
   /** Time without a message after which a voter is replaced. */
   readonly replaceAfterMs: number;
+  /** Maximum time since the last reply of a learner that is promoted. */
+  readonly maxReplyAgeMs: number;
   /** Entries that a learner may lack when it is promoted. */
   readonly maxLagEntries?: number;
   /** Members that are retiring: they are replaced although they are up. */
@@ -90,6 +94,10 @@
   const caughtUp = config.learners.find((learner) => {
     const status = options.members.get(learner);
     if (status === undefined || isLost(options, learner)) return false;
+    // A promotion raises the quorum, and can only be undone by that quorum: if the learner can't be
+    // reached, the group commits nothing any more. In a short log, a learner that never replied
+    // lacks few entries.
+    if (status.lastReplyAgoMs > options.maxReplyAgeMs) return false;
     return options.liveIds.includes(learner) && status.lagEntries <= maxLag;
   });
   if (caughtUp === undefined) return undefined;
--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -17,8 +17,10 @@
   state: ProgressState = 'probe';
   matchIndex = 0;
   nextIndex: number;
-  /** Time of the last message from the member, on the leader's clock. */
+  /** Time of the last message from the member, on the leader's clock; initially the current time. */
   lastContactMs: number;
+  /** The same, but negative infinity until the member has replied to this leader. */
+  lastReplyMs = -Infinity;
   /** Highest heartbeat round that the member has replied to. */
   ackedRound = 0;
   private inFlightLastIndexes: number[] = [];
--- a/packages/control/src/control.test.ts
+++ b/packages/control/src/control.test.ts
@@ -51,9 +51,9 @@
 describe('memberStatuses', () => {
   test(title('a lost member counts as unresponsive for a newly elected leader, too'), (t) => {
     const progress = new Map([
-      ['lost#1', { matchIndex: 5, lastContactAgoMs: 10 }],
-      ['lagging#1', { matchIndex: 5, lastContactAgoMs: 9000 }],
-      ['healthy#1', { matchIndex: 8, lastContactAgoMs: 20 }],
+      ['lost#1', { matchIndex: 5, lastContactAgoMs: 10, lastReplyAgoMs: Infinity }],
+      ['lagging#1', { matchIndex: 5, lastContactAgoMs: 9000, lastReplyAgoMs: 9000 }],
+      ['healthy#1', { matchIndex: 8, lastContactAgoMs: 20, lastReplyAgoMs: 20 }],
     ]);
     const lastSeenAgoMs = new Map([
       ['lost#1', 6000],
--- a/packages/control/src/membership-tasks.ts
+++ b/packages/control/src/membership-tasks.ts
@@ -2,7 +2,7 @@
  * Tasks of a leader for the members of its group: replacing lost members and balancing leadership.
  */
 import { planMembership } from '@shedline/consensus';
-import type { GroupConfig, MemberStatus } from '@shedline/consensus';
+import type { GroupConfig, MemberProgress, MemberStatus } from '@shedline/consensus';
 import type { Logger } from '@shedline/logger';
 import { rendezvousOrder } from '@shedline/types';
 import type { GroupHost } from './group-host.js';
@@ -22,13 +22,6 @@
   readonly lastSeenAgoMs: (memberId: string) => number;
 }
 
-/** Replication progress of a member, as seen by the leader. */
-export interface ReplicationProgress {
-  readonly matchIndex: number;
-  /** Time since the last reply of the member, or since the leader was elected if none came. */
-  readonly lastContactAgoMs: number;
-}
-
 /**
  * Returns the status of the members for the planner. A member has been unresponsive for the longer
  * of two times: since its last reply to this leader, and since its last announcement. The second
@@ -36,15 +29,16 @@
  * responsive member.
  */
 export function memberStatuses(
-  progress: ReadonlyMap<string, ReplicationProgress>,
+  progress: ReadonlyMap<string, MemberProgress>,
   commitIndex: number,
   lastSeenAgoMs: (memberId: string) => number,
 ): Map<string, MemberStatus> {
   const statuses = new Map<string, MemberStatus>();
-  for (const [memberId, { matchIndex, lastContactAgoMs }] of progress) {
+  for (const [memberId, { matchIndex, lastContactAgoMs, lastReplyAgoMs }] of progress) {
     statuses.set(memberId, {
       memberId,
       lastContactAgoMs: Math.max(lastContactAgoMs, lastSeenAgoMs(memberId)),
+      lastReplyAgoMs,
       lagEntries: commitIndex - matchIndex,
     });
   }
@@ -71,6 +65,7 @@
     liveIds: options.liveIds,
     targetVoters: settings.voterCount,
     replaceAfterMs: settings.replaceAfterMs,
+    maxReplyAgeMs: settings.electionTimeoutMs,
     retiringIds: options.retiringIds,
   });
 }
--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -62,7 +62,7 @@
       const members = new Map(
         [...config.voters, ...config.learners].map((memberId) => [
           memberId,
-          { memberId, lastContactAgoMs: 0, lagEntries: 0 },
+          { memberId, lastContactAgoMs: 0, lastReplyAgoMs: 0, lagEntries: 0 },
         ]),
       );
       const next = planMembership({
@@ -72,6 +72,7 @@
         liveIds: ['a#1', 'b#1', 'c#1', 'd#1'],
         targetVoters: 3,
         replaceAfterMs: 1000,
+        maxReplyAgeMs: 100,
         retiringIds: new Set(['a#1']),
       });
       if (next === undefined) break;
