--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -8,6 +8,7 @@
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Role, Target } from './fault-plan.js';
+import { openSocketsAt } from './open-sockets.js';
 
 /** Name, role and addresses of a process. */
 export interface ProcessSpec extends Target {
@@ -147,12 +148,21 @@
     });
     this.running.set(name, child);
     child.once('exit', (code, signal) => {
-      if (!this.requestedExits.has(child))
+      if (!this.requestedExits.has(child)) {
         this.unexpectedExits.push(`${name} (${code ?? signal ?? 'unknown'})`);
+        void this.logOpenSockets(spec);
+      }
       if (this.running.get(name) === child) this.running.delete(name);
     });
   }
 
+  /** Logs what holds the addresses of a process that exited, because it may not have been able to listen. */
+  private async logOpenSockets({ name, processHost }: ProcessSpec): Promise<void> {
+    const sockets = await openSocketsAt(processHost);
+    const line = JSON.stringify({ message: 'sockets at the addresses of the process', sockets });
+    await appendFile(join(this.options.folder, `${name}.log`), `${line}\n`);
+  }
+
   private dataDirOf(name: string): string {
     return join(this.options.folder, `data-${name}`);
   }
