Keep the warm-up time out of the descriptions of endpoints

Cause, in part at least: the remaining warm-up time was part of the description that a digest stands for. While endpoints warm up, as all do after a start, each heartbeat had a new description: hashed at each control process, requested by each entry, and hashed there.

Change: the digest carries the remaining warm-up time, unless it is 0.

Test: gateway/endpoint-feed 'reads no description again while endpoints warm up'.

--- a/packages/fleet/src/endpoint-registry.ts
+++ b/packages/fleet/src/endpoint-registry.ts
@@ -107,7 +107,11 @@
   digestsSince(reader: RegistryCursor, nowMs: number, maxCount: number): DigestDelta {
     const { changes, ...position } = this.changesSince(reader, maxCount);
     const digests = changes.map(({ fingerprint, heartbeat, receivedAtMs }): HeartbeatDigest => {
-      return [fingerprint, heartbeat.sequence, Math.round(nowMs - receivedAtMs)];
+      const { sequence, warmUpLeftMs } = heartbeat;
+      const ageMs = Math.round(nowMs - receivedAtMs);
+      return warmUpLeftMs === 0
+        ? [fingerprint, sequence, ageMs]
+        : [fingerprint, sequence, ageMs, warmUpLeftMs];
     });
     return { ...position, digests };
   }
--- a/packages/fleet/src/heartbeat-digest.ts
+++ b/packages/fleet/src/heartbeat-digest.ts
@@ -10,25 +10,36 @@
 /** Time for which an unused description is kept; longer than a round over all control processes. */
 const KEEP_UNUSED_MS = 60_000;
 
-/** Fingerprint of the description, sequence number, and age in whole milliseconds. */
-export type HeartbeatDigest = readonly [fingerprint: number, sequence: number, ageMs: number];
+/**
+ * Fingerprint of the description, sequence number, age in whole milliseconds, and the remaining
+ * warm-up time unless it is 0.
+ */
+export type HeartbeatDigest = readonly [
+  fingerprint: number,
+  sequence: number,
+  ageMs: number,
+  warmUpLeftMs?: number,
+];
 
-/** Returns the fingerprint of all that a heartbeat says, except its sequence number. */
+/** Returns the fingerprint of the description in a heartbeat. */
 export function fingerprintOf(heartbeat: EndpointHeartbeat): number {
   const text = JSON.stringify(descriptionOf(heartbeat));
   return parseInt(sha256Hex(text).slice(0, FINGERPRINT_HEX_DIGITS), 16);
 }
 
-/** Whether two heartbeats differ at most in their sequence numbers. */
+/** Whether the descriptions in two heartbeats are the same. */
 export function hasSameDescription(a: EndpointHeartbeat, b: EndpointHeartbeat): boolean {
   const values = descriptionOf(b);
   return descriptionOf(a).every((value, index) => value === values[index]);
 }
 
+/**
+ * Returns all that a heartbeat says except what changes from one to the next: the sequence number
+ * and the remaining warm-up time. After a start of the fleet all endpoints warm up at once.
+ */
 function descriptionOf(heartbeat: EndpointHeartbeat): readonly (string | number)[] {
-  const { endpointId, startedAtMs, service, address } = heartbeat;
-  const { availabilityZone, slots, warmUpLeftMs } = heartbeat;
-  return [endpointId, startedAtMs, service, address, availabilityZone, slots, warmUpLeftMs];
+  const { endpointId, startedAtMs, service, address, availabilityZone, slots } = heartbeat;
+  return [endpointId, startedAtMs, service, address, availabilityZone, slots];
 }
 
 /** The heartbeats that digests stand for, and the fingerprints without a known description. */
@@ -65,14 +76,17 @@
   resolve(digests: readonly HeartbeatDigest[], nowMs: number): ResolvedDigests {
     const heartbeats: AgedHeartbeat[] = [];
     const unknownFingerprints: number[] = [];
-    for (const [fingerprint, sequence, ageMs] of digests) {
+    for (const [fingerprint, sequence, ageMs, warmUpLeftMs = 0] of digests) {
       const description = this.known.get(fingerprint);
       if (description === undefined) {
         unknownFingerprints.push(fingerprint);
         continue;
       }
       description.usedAtMs = nowMs;
-      heartbeats.push({ heartbeat: { ...description.heartbeat, sequence }, ageMs });
+      heartbeats.push({
+        heartbeat: { ...description.heartbeat, sequence, warmUpLeftMs },
+        ageMs,
+      });
     }
     return { heartbeats, unknownFingerprints };
   }
--- a/packages/gateway/src/endpoint-feed.test.ts
+++ b/packages/gateway/src/endpoint-feed.test.ts
@@ -16,7 +16,12 @@
 /** Maximum number of whole heartbeats in one reply. */
 const MAX_HEARTBEATS = 256;
 
-function heartbeatOf(index: number, sequence: number, startedAtMs = 1): EndpointHeartbeat {
+function heartbeatOf(
+  index: number,
+  sequence: number,
+  startedAtMs: number,
+  warmUpLeftMs: number,
+): EndpointHeartbeat {
   return {
     endpointId: `i-${index}`,
     startedAtMs,
@@ -24,7 +29,7 @@
     address: `10.0.${Math.floor(index / 200)}.${index % 200}:8080`,
     availabilityZone: `z${index % 3}`,
     slots: 8,
-    warmUpLeftMs: 0,
+    warmUpLeftMs,
     sequence,
   };
 }
@@ -50,9 +55,10 @@
     return { peerName, request } as unknown as PeerClient;
   }
 
-  beat(sequence: number, startedAtMs = 1): void {
+  beat(sequence: number, startedAtMs = 1, warmUpLeftMs = 0): void {
     for (let index = 0; index < ENDPOINTS; index += 1) {
-      this.registry.record(heartbeatOf(index, sequence, startedAtMs), 0, this.clock.nowMs);
+      const heartbeat = heartbeatOf(index, sequence, startedAtMs, warmUpLeftMs);
+      this.registry.record(heartbeat, 0, this.clock.nowMs);
     }
   }
 
@@ -125,6 +131,20 @@
     },
   );
 
+  // After a start of the fleet all endpoints warm up, and each heartbeat states another time.
+  test(title('reads no description again while endpoints warm up'), async (t) => {
+    const reader = new Reader();
+    const control = new FakeControl('control', reader.clock);
+    for (const [index, warmUpLeftMs] of [3000, 2000, 1000, 0].entries()) {
+      control.beat(index + 1, 1, warmUpLeftMs);
+      await reader.poll(control);
+      t.deepEqual(reader.sequences, [index + 1]);
+      const latest = [...reader.latest.values()];
+      t.true(latest.every(({ heartbeat }) => heartbeat.warmUpLeftMs === warmUpLeftMs));
+    }
+    t.is(sum(control.wholeHeartbeatCounts), ENDPOINTS);
+  });
+
   test(title('repeats only the page whose descriptions did not arrive'), async (t) => {
     const reader = new Reader();
     const control = new FakeControl('control', reader.clock);
