--- a/packages/soak/src/process-set.ts
+++ b/packages/soak/src/process-set.ts
@@ -156,7 +156,7 @@
     });
   }
 
-  /** Logs what holds the addresses of a process that exited, because it may not have been able to listen. */
+  /** Logs which sockets hold the addresses of a process, which may have exited unable to listen. */
   private async logOpenSockets({ name, processHost }: ProcessSpec): Promise<void> {
     const sockets = await openSocketsAt(processHost);
     const line = JSON.stringify({ message: 'sockets at the addresses of the process', sockets });
