Tell a response that was cut from a whole one when its address is in use again

A response without a length ends with its connection, which the kernel closes in order for a process that has ended. The entry probed the endpoint's port, but the next endpoint listened at the same address in the same millisecond, so the port was open.

At the end of such a response the entry now also checks whether another response of the same incarnation broke off within 50 ms, and which id the process at the address states in its health response. A missing or late id is no evidence: a new process has free slots and responds at once.

--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -78,8 +78,10 @@
 /** Options of {@link EndpointSender}. */
 export interface EndpointSenderOptions {
   readonly protocol: EndpointProtocol;
-  /** Whether the endpoint of a send has crashed. */
+  /** Whether the endpoint of a response without a length ended during it. */
   readonly hasCrashed: (send: Send) => Promise<boolean>;
+  /** Called when an endpoint breaks off a response that had begun. */
+  readonly onBrokenOff?: (send: Send) => void;
 }
 
 /** {@link RequestSender} over HTTP connections. */
@@ -256,6 +258,7 @@
       return;
     }
     if ((this.framer?.pendingBytes ?? 0) > 0) {
+      this.options.onBrokenOff?.(this.request);
       this.settleAsBroken('the response ended in the middle of an event');
       return;
     }
@@ -277,6 +280,7 @@
       this.settleWith({ kind: 'ended', outcome: { kind: 'refused', status: this.head.status } });
       return;
     }
+    if (this.isForwarding && !this.isStopped) this.options.onBrokenOff?.(this.request);
     this.settleAsBroken(reason);
   }
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export * from './forward-task.js';
 export * from './forwarder.js';
 export { isBroken } from './guarded-content.js';
+export * from './identity-probe.js';
 export * from './listening-probe.js';
 export * from './protocol.js';
 export * from './request-content.js';
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -8,8 +8,8 @@
 import type { AgedHeartbeat, CallerLimits, FleetDelta, RouteTable } from '@shedline/fleet';
 import { ProcessCore, callPortsOf, quotaTolerance } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
-import { ConnectionProbe, EndpointSender, Forwarder } from '@shedline/forwarding';
-import type { ResponseSink, EndpointProtocol } from '@shedline/forwarding';
+import { ConnectionProbe, EndpointSender, Forwarder, HealthCheckProbe } from '@shedline/forwarding';
+import type { EndpointProtocol, HealthCheckProtocol, ResponseSink } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
@@ -65,7 +65,7 @@
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly settings: FleetSettings;
-  readonly protocol: EndpointProtocol;
+  readonly protocol: EndpointProtocol & HealthCheckProtocol;
   readonly logger: Logger;
   readonly random?: () => number;
   readonly nowMs?: () => number;
@@ -156,7 +156,7 @@
     });
     this.follower = this.createFollower();
     this.pool = this.createPool();
-    this.crashDetector = this.createCrashDetector();
+    this.crashDetector = this.createCrashDetector(protocol);
     this.crashReporter = new CrashReporter({
       fleet: this.controlCaller,
       logger,
@@ -165,7 +165,11 @@
     this.crashGuard = this.createCrashGuard();
     this.sender = new EndpointSender({
       protocol,
-      hasCrashed: ({ endpointId, address }) => this.crashDetector.hasCrashed(endpointId, address),
+      hasCrashed: ({ endpointId, address }) =>
+        this.crashDetector.endedDuringResponse(endpointId, address),
+      onBrokenOff: ({ endpointId }) => {
+        this.crashDetector.noteBrokenResponse(endpointId);
+      },
     });
     this.forwarder = new Forwarder({
       sender: this.sender,
@@ -412,9 +416,15 @@
     });
   }
 
-  private createCrashDetector(): CrashDetector {
+  private createCrashDetector(protocol: HealthCheckProtocol): CrashDetector {
     return new CrashDetector({
       probe: new ConnectionProbe(),
+      identityProbe: new HealthCheckProbe(protocol),
+      healthPathOf: (endpointId) => {
+        const service = this.pool.serviceOf(endpointId);
+        const services = this.follower.fleet.routes?.configuration.services ?? [];
+        return services.find(({ name }) => name === service)?.healthPath;
+      },
       isLeaving: (endpointId) => this.follower.fleet.isLeaving(endpointId),
       onCrashed: (endpointId) => {
         this.pool.markDown(endpointId);
