--- a/packages/soak/src/expected-response.ts
+++ b/packages/soak/src/expected-response.ts
@@ -6,11 +6,15 @@
 
 const MIN_EVENTS = 3;
 const MAX_EVENTS = 12;
+/** Prefix of the ids of requests with {@link LONG_EVENTS} events, about as many as items of jobs have. */
+export const LONG_PREFIX = 'long-';
+const LONG_EVENTS = 150;
 /** Prefix of the ids of requests that always fail. */
 export const POISON_PREFIX = 'poison-';
 
 /** Returns the number of events in the response to a request. */
 export function eventCountOf(requestId: string): number {
+  if (requestId.startsWith(LONG_PREFIX)) return LONG_EVENTS;
   return MIN_EVENTS + Math.floor(unitHash(requestId) * (MAX_EVENTS - MIN_EVENTS));
 }
 
