Ask the leader before a retirement is answered with 404

A control process with a disk answered from its own copy of the state and of the member lists: one that has just started, or lags behind the leader, does not know the store or the retirement. It asks the leader now before it says that there is none, and fails if the leader is silent.

Cause found by reading; the new tests of RetirementCalls fail on the logic before, which never asked the leader.

--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -30,10 +30,10 @@
 import { callPortsOf } from './peer-ports.js';
 import { peerAddressFromName, seedAddresses } from './ports.js';
 import { ProcessCore } from './process-core.js';
+import { RetirementCalls } from './retirement-calls.js';
 import { StoreLifecycle } from './store-lifecycle.js';
 import { QuotaCounter } from './quota-counter.js';
 import { quotaTolerance } from './quota-settings.js';
-import type { RetireOutcome, RetireProgress } from './store-lifecycle.js';
 import type { RefreshAnswer, RefreshRequest, StateAnswer } from './protocol.js';
 
 /** Operators and endpoints time out after one second; a reply must arrive earlier. */
@@ -72,6 +72,8 @@
   private readonly quotas: QuotaCounter;
   /** Formation and retirement of stores. */
   readonly storeLifecycle: StoreLifecycle;
+  /** Operators' calls about the retirement of a store. */
+  readonly retirements: RetirementCalls;
   /** Connections to the stores, opened when the progress of a retirement is queried. */
   private readonly stores: PeerConnections;
   /** Position up to which changes were pushed to the connected processes. */
@@ -114,6 +116,10 @@
       propose: (command) => this.propose(command),
     });
     this.groups = this.createGroups(options.random ?? Math.random);
+    this.retirements = new RetirementCalls({
+      lifecycle: this.groups === undefined ? undefined : this.storeLifecycle,
+      callLeader: (method, instance) => this.callLeader(method, instance),
+    });
     this.caller = new LeaderCaller({ ports: () => this.ports(), maxAttemptMs: MAX_ATTEMPT_MS });
     this.quotas = this.createQuotas();
     this.addGauges();
@@ -222,22 +228,6 @@
     );
   }
 
-  /** Starts the retirement of the store of an instance; see {@link StoreLifecycle.retire}. */
-  retire(instance: string): Promise<RetireOutcome> {
-    if (this.groups !== undefined) return this.storeLifecycle.retire(instance);
-    return this.callLeader('retire', instance) as Promise<RetireOutcome>;
-  }
-
-  /**
-   * Returns the progress of the retirement of a store; undefined if none was requested. A process
-   * without a disk does not hold the state of the fleet and would always report that none was
-   * requested, so it asks the leader.
-   */
-  async retirement(instance: string): Promise<RetireProgress | undefined> {
-    if (this.groups !== undefined) return this.storeLifecycle.retirement(instance);
-    return ((await this.callLeader('retirement', instance)) as RetireProgress | null) ?? undefined;
-  }
-
   private propose(command: FleetCommand): Promise<FleetAnswer> {
     return this.callLeader('fleetPropose', command) as Promise<FleetAnswer>;
   }
