config: check the settings of a fleet without generated code

zod generates and compiles code for an object schema when it is first used. A process checks its settings once per start, so this costs more than it saves.

--- a/packages/config/src/fleet-schema.ts
+++ b/packages/config/src/fleet-schema.ts
@@ -86,7 +86,8 @@
   value: unknown,
   source: string,
 ): Result<FleetSettings, ShedlineError> {
-  const result = fleetSettingsSchema.safeParse(value);
+  // Settings are checked once per start; generating and compiling code for it costs more.
+  const result = fleetSettingsSchema.safeParse(value, { jitless: true });
   if (result.success) return Result.ok(result.data);
   const issue = result.error.issues[0];
   const field = issue?.path.join('.') ?? '';
