Compare the members of a subset one by one

Each second, and at each change, an entry sorted and joined the names of all entries and endpoints to see whether its subset has to be recomputed. Both lists keep their order while nothing changes, so they are now compared member by member.

--- a/packages/gateway/src/subset-tracker.test.ts
+++ b/packages/gateway/src/subset-tracker.test.ts
@@ -25,5 +25,9 @@
     endpoints = members('endpoint', 300);
     t.true(tracker.refresh());
     t.is(tracker.batchEntryCount, 165);
+    endpoints = [...endpoints.slice(1), { name: 'endpoint-new', availabilityZone: 'z0' }];
+    t.true(tracker.refresh(), 'one member is replaced by another');
+    endpoints = endpoints.map(({ name }) => ({ name, availabilityZone: 'z0' }));
+    t.true(tracker.refresh(), 'members are in another zone');
   });
 });
--- a/packages/gateway/src/subset-tracker.ts
+++ b/packages/gateway/src/subset-tracker.ts
@@ -20,7 +20,8 @@
   private readonly options: SubsetTrackerOptions;
   private subsets = new EndpointSubsets({ entries: [], endpoints: [] });
   private ownEndpoints: ReadonlySet<string> = new Set();
-  private membersKey = '';
+  private knownEntries: readonly ZonedName[] = [];
+  private knownEndpoints: readonly ZonedName[] = [];
   private servingEntryCount = 1;
   private endpointCount = 0;
 
@@ -29,14 +30,15 @@
   }
 
   /**
-   * Recomputes the subsets if entries or endpoints were added or removed; returns whether it did.
+   * Recomputes the subsets if entries or endpoints were added, removed or listed in another order;
+   * returns whether it did.
    */
   refresh(): boolean {
     const entries = this.options.entries();
     const endpoints = this.options.endpoints();
-    const key = `${namesOf(entries)}#${namesOf(endpoints)}`;
-    if (key === this.membersKey) return false;
-    this.membersKey = key;
+    if (isSame(entries, this.knownEntries) && isSame(endpoints, this.knownEndpoints)) return false;
+    this.knownEntries = entries;
+    this.knownEndpoints = endpoints;
     this.servingEntryCount = entries.length;
     this.endpointCount = endpoints.length;
     this.subsets = new EndpointSubsets({ entries, endpoints });
@@ -78,9 +80,16 @@
   }
 }
 
-function namesOf(members: readonly ZonedName[]): string {
-  return members
-    .map(({ name, availabilityZone }) => `${availabilityZone}|${name}`)
-    .sort()
-    .join(',');
+/**
+ * Whether two lists have the same members in the same order. Both lists keep their order while
+ * nothing changes, so no key has to be sorted and built at each check.
+ */
+function isSame(a: readonly ZonedName[], b: readonly ZonedName[]): boolean {
+  return (
+    a.length === b.length &&
+    a.every(
+      ({ name, availabilityZone }, index) =>
+        name === b[index]?.name && availabilityZone === b[index].availabilityZone,
+    )
+  );
 }
