--- a/packages/gateway/src/fleet-follower.test.ts
+++ b/packages/gateway/src/fleet-follower.test.ts
@@ -7,6 +7,7 @@
 import { describe, title } from '@shedline/test-utils';
 import type { PeerConnections } from '@shedline/transport';
 import { FleetFollower } from './fleet-follower.js';
+import { PeriodicTasks, TICK_INTERVAL_MS } from './periodic-tasks.js';
 
 const HEARTBEAT: AgedHeartbeat = {
   ageMs: 0,
@@ -92,7 +93,12 @@
   const quorum = new FakeQuorum();
   const received: AgedHeartbeat[] = [];
   const routes: number[] = [];
+  const tasks = new PeriodicTasks();
+  setInterval(() => {
+    tasks.tick();
+  }, TICK_INTERVAL_MS).unref();
   const follower = new FleetFollower({
+    tasks,
     controls: controls.connections,
     caller: quorum,
     isInOwnZone: (control) => control === 'near',
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -14,15 +14,11 @@
 import type { CrashChanges } from '@shedline/quarantine';
 import type { PeerConnections, PeerClient } from '@shedline/transport';
 import { EndpointFeed } from './endpoint-feed.js';
+import { TICK_INTERVAL_MS } from './periodic-tasks.js';
+import type { PeriodicTasks } from './periodic-tasks.js';
 import { PollPlan } from './poll-plan.js';
 import { StateFreshness } from './state-freshness.js';
 
-/**
- * Polling interval. A change whose pushes were all lost is in force within the 2 s that operators
- * allow, even if one of the polled control processes is silent or partitioned. The leases of
- * endpoints pause after 700 ms without a reply.
- */
-const REFRESH_INTERVAL_MS = 500;
 /** Time after which another control process is polled if a poll has failed or is unanswered. */
 const UNANSWERED_POLL_MS = 300;
 /** First polling interval of the endpoint discovery; grows up to the usual interval. */
@@ -42,6 +38,8 @@
   readonly caller: GroupCaller;
   /** Whether a control process is in the availability zone of this entry. */
   readonly isInOwnZone: (control: string) => boolean;
+  /** Runs the polls. */
+  readonly tasks: PeriodicTasks;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onHeartbeats: (heartbeats: readonly AgedHeartbeat[]) => void;
@@ -59,7 +57,7 @@
   private readonly freshness: StateFreshness;
   private readonly endpoints: EndpointFeed;
   private readonly pendingControls = new Set<string>();
-  private timer: NodeJS.Timeout | undefined;
+  private stopPolling: (() => void) | undefined;
   private readonly plan = new PollPlan();
   private isStopped = false;
   private lastReplyAtMs = -Infinity;
@@ -105,16 +103,19 @@
     await this.readFromQuorum();
     this.hasReadQuorum = true;
     for (const { delta, from } of this.earlyDeltas.splice(0)) this.apply(delta, from);
-    this.timer = setInterval(() => {
-      this.refresh();
-    }, REFRESH_INTERVAL_MS);
+    this.stopPolling = this.options.tasks.add({
+      everyTicks: 1,
+      run: () => {
+        this.refresh();
+      },
+    });
     this.refresh();
   }
 
   /** Stops polling. */
   stop(): void {
     this.isStopped = true;
-    clearInterval(this.timer);
+    this.stopPolling?.();
   }
 
   /** Applies a pushed change, or keeps it until the initial read is done. */
@@ -155,7 +156,7 @@
    */
   private async discoverEndpoints(): Promise<void> {
     let pauseMs = FIRST_DISCOVERY_PAUSE_MS;
-    while (!this.isStopped && this.endpoints.isEmpty && pauseMs < REFRESH_INTERVAL_MS) {
+    while (!this.isStopped && this.endpoints.isEmpty && pauseMs < TICK_INTERVAL_MS) {
       this.refresh();
       await pause(pauseMs);
       pauseMs *= DISCOVERY_PAUSE_GROWTH;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -28,6 +28,7 @@
 import { LoadReporter } from './load-reporter.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
 import { QuotaEnforcer } from './quota-enforcer.js';
+import { PeriodicTasks, TICK_INTERVAL_MS } from './periodic-tasks.js';
 import { ThrottledTask } from './throttled-task.js';
 import { SubsetTracker } from './subset-tracker.js';
 import { RequestHandler } from './request-handler.js';
@@ -36,7 +37,8 @@
 import type { DisconnectNotifier } from './startup-gate.js';
 import { STORE_LINGER_MS, StoreConnections } from './store-connections.js';
 
-const SWEEP_INTERVAL_MS = 1000;
+/** Ticks between sweeps: one second. */
+const TICKS_PER_SWEEP = 1000 / TICK_INTERVAL_MS;
 /**
  * Minimum time between two computations of the endpoint subsets. Their cost is proportional to the
  * number of endpoints, which all appear one after another when the fleet starts.
@@ -98,7 +100,8 @@
   private readonly subsetTracker: SubsetTracker;
   private readonly subsetRefresh: ThrottledTask;
   private readonly itemRunner: ItemRunner;
-  private sweepTimer: NodeJS.Timeout | undefined;
+  private readonly tasks = new PeriodicTasks();
+  private tickTimer: NodeJS.Timeout | undefined;
   private readonly shutdown: GracefulShutdown;
   private lastEntries: readonly MemberRecord[] | undefined;
   private lastStores: readonly MemberRecord[] | undefined;
@@ -185,6 +188,7 @@
       tolerance: quotaTolerance(settings),
       controls: this.core.mesh.controls,
       entryCount: () => this.core.mesh.live('entry').length,
+      tasks: this.tasks,
       metrics: this.metrics,
       logger,
       nowMs: this.nowMs,
@@ -235,13 +239,19 @@
   async start(): Promise<void> {
     await this.core.listen();
     this.core.start();
+    this.tickTimer = setInterval(() => {
+      this.tasks.tick();
+    }, TICK_INTERVAL_MS);
     this.loadReporter.start();
     this.quotas.start();
     await this.follower.start();
     this.itemRunner.start();
-    this.sweepTimer = setInterval(() => {
-      this.sweep();
-    }, SWEEP_INTERVAL_MS);
+    this.tasks.add({
+      everyTicks: TICKS_PER_SWEEP,
+      run: () => {
+        this.sweep();
+      },
+    });
     this.logger.info('entry ready', {
       step: 'start',
       version: this.follower.fleet.position.version,
@@ -306,7 +316,7 @@
 
   /** Closes all connections to the fleet and to the endpoints. */
   async close(): Promise<void> {
-    clearInterval(this.sweepTimer);
+    clearInterval(this.tickTimer);
     this.follower.stop();
     this.subsetRefresh.close();
     this.itemRunner.close();
@@ -366,6 +376,7 @@
       controls: this.core.mesh.controls,
       caller: this.controlCaller,
       isInOwnZone: (control) => this.isNear(control),
+      tasks: this.tasks,
       logger: this.logger,
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
--- a/packages/gateway/src/quota-enforcer.test.ts
+++ b/packages/gateway/src/quota-enforcer.test.ts
@@ -5,6 +5,7 @@
 import type { QuotaAnswer, QuotaRequest, UsageReport } from '@shedline/quota';
 import { describe, title } from '@shedline/test-utils';
 import type { PeerClient } from '@shedline/transport';
+import { PeriodicTasks } from './periodic-tasks.js';
 import { QuotaEnforcer } from './quota-enforcer.js';
 
 const LIMITED = { name: 'w', keyDigests: [], limit: { ratePerS: 10, burst: 10 } };
@@ -40,6 +41,7 @@
 function setup(...counters: FakeCounter[]): QuotaEnforcer {
   return new QuotaEnforcer({
     self: 'e',
+    tasks: new PeriodicTasks(),
     tolerance: { windowMs: 5000, overshootShare: 0.1, slack: 20 },
     controls: { ready: counters as unknown as PeerClient[] },
     entryCount: () => 4,
--- a/packages/gateway/src/quota-enforcer.ts
+++ b/packages/gateway/src/quota-enforcer.ts
@@ -10,6 +10,7 @@
 import { RequestShare } from '@shedline/quota';
 import type { PeerConnections, PeerClient } from '@shedline/transport';
 import { rendezvousOrder } from '@shedline/types';
+import type { PeriodicTasks } from './periodic-tasks.js';
 
 /**
  * Time for which admitted requests are collected into one report. At ten times the limit, as
@@ -18,10 +19,10 @@
  */
 const REPORT_AFTER_MS = 50;
 /**
- * Time between checks whether a count has moved to another process, which then needs reports of
- * earlier usage.
+ * Ticks (of 500 ms) between checks whether a count has moved to another process, which then needs
+ * reports of earlier usage.
  */
-const CHECK_INTERVAL_MS = 500;
+const TICKS_PER_CHECK = 1;
 /**
  * Maximum wait for a counter: callers' latency targets are some 300 ms, which an unresponsive
  * counter must not use up.
@@ -54,6 +55,8 @@
   readonly controls: Pick<PeerConnections, 'ready'>;
   /** Returns the number of entries that are known to be up. */
   readonly entryCount: () => number;
+  /** Runs the checks. */
+  readonly tasks: PeriodicTasks;
   readonly metrics: ProcessMetrics;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -75,7 +78,7 @@
   private counterByWorkspace = new Map<string, PeerClient>();
   private counterNames = '';
   private reportTimer: NodeJS.Timeout | undefined;
-  private checkTimer: NodeJS.Timeout | undefined;
+  private stopChecks: (() => void) | undefined;
 
   constructor(options: QuotaEnforcerOptions) {
     this.options = options;
@@ -85,16 +88,19 @@
 
   /** Starts the periodic checks and reports. */
   start(): void {
-    this.checkTimer = setInterval(() => {
-      this.share.recordEntryCount(this.options.entryCount());
-      this.share.removeIdle(this.options.nowMs());
-      this.sendReports();
-    }, CHECK_INTERVAL_MS);
+    this.stopChecks = this.options.tasks.add({
+      everyTicks: TICKS_PER_CHECK,
+      run: () => {
+        this.share.recordEntryCount(this.options.entryCount());
+        this.share.removeIdle(this.options.nowMs());
+        this.sendReports();
+      },
+    });
   }
 
   /** Sends the last report and stops. */
   stop(): void {
-    clearInterval(this.checkTimer);
+    this.stopChecks?.();
     clearTimeout(this.reportTimer);
     this.sendReports();
   }
