Announce to all control processes at once

With more than three control processes, a process announced itself to one half of them every 400 ms. The replies of both halves woke it up at different times.

An entry was ready only at the next tick after it knew the routes; it now announces that at once.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -387,6 +387,7 @@
       },
       onRoutes: () => {
         this.startupGate.open();
+        this.announceReadiness();
       },
       onLeaving: (endpointIds) => {
         this.pool.markLeaving(endpointIds);
@@ -505,7 +506,7 @@
     return [...others, self].map(({ name, availabilityZone }) => ({ name, availabilityZone }));
   }
 
-  /** Called at least 2.5 times per second; an unchanged list is the same object as before. */
+  /** Called at least every 800 ms; an unchanged list is the same object as before. */
   private onMembersChange(): void {
     const entries = this.core.mesh.live('entry');
     const stores = this.core.mesh.live('store');
@@ -513,6 +514,10 @@
     if (stores !== this.lastStores) this.storeConnections.update();
     this.lastEntries = entries;
     this.lastStores = stores;
+    this.announceReadiness();
+  }
+
+  private announceReadiness(): void {
     if (this.isReady && this.core.mesh.self.state === 'starting') this.core.mesh.setState('ready');
   }
 
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '@shedline/logger';
 import { PeerConnections } from '@shedline/transport';
 import type { Link, LinkHandlers, PeerAddress } from '@shedline/transport';
+import { announcementIntervalMs } from './announcement-interval.js';
 import { controlsToConnect, isCore } from './control-choice.js';
 import { KnownCoreMembers } from './known-core-members.js';
 import type { MemberKind, MemberRecord, MemberState } from './member-record.js';
@@ -12,13 +13,6 @@
 import type { MemberChanges } from './member-registry.js';
 import { MemberView } from './member-view.js';
 
-/** Interval between announcements; several fit into the lease of a member. */
-const ANNOUNCE_INTERVAL_MS = 400;
-/**
- * Number of control processes up to which each heartbeat is sent to all of them; with more, each
- * gets every second heartbeat.
- */
-const MAX_CONTROLS_PER_HEARTBEAT = 3;
 /** Changes of the member lists within this time cause one notification. */
 const CHANGE_COALESCE_MS = 30;
 
@@ -66,7 +60,6 @@
   private record: MemberRecord;
   private timer: NodeJS.Timeout | undefined;
   private wasInContact = false;
-  private heartbeatCount = 0;
   private changeTimer: NodeJS.Timeout | undefined;
 
   constructor(options: MeshOptions) {
@@ -98,9 +91,6 @@
   /** Connects to the control processes and starts to announce this process. */
   start(): void {
     this.updateControls();
-    this.timer = setInterval(() => {
-      this.tick();
-    }, ANNOUNCE_INTERVAL_MS);
     this.tick();
   }
 
@@ -164,7 +154,7 @@
 
   /** Announces to the control processes that this process stops, and closes the connections. */
   stop(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     clearTimeout(this.changeTimer);
     for (const control of this.controls.ready) control.send(LEAVE, this.record.name);
     // Deferred so that the message is sent before the connection closes.
@@ -174,7 +164,8 @@
   }
 
   private tick(): void {
-    this.sendHeartbeat();
+    this.announce();
+    this.scheduleTick();
     if (this.record.kind === 'control') {
       if (!isCore(this.record)) this.registerCore();
       this.sendLists();
@@ -184,6 +175,16 @@
     this.options.onChange?.();
   }
 
+  private scheduleTick(): void {
+    const controlCount = this.controls.ready.length;
+    this.timer = setTimeout(
+      () => {
+        this.tick();
+      },
+      announcementIntervalMs(this.record.kind, controlCount),
+    );
+  }
+
   private announce(): void {
     if (this.record.kind === 'control') {
       const nowMs = this.options.nowMs();
@@ -193,21 +194,6 @@
     for (const control of this.controls.ready) control.send(ANNOUNCE, this.record);
   }
 
-  /**
-   * Announces the unchanged record; with many control processes, alternately to one half of them.
-   */
-  private sendHeartbeat(): void {
-    const { ready } = this.controls;
-    if (ready.length <= MAX_CONTROLS_PER_HEARTBEAT || this.record.kind === 'control') {
-      this.announce();
-      return;
-    }
-    this.heartbeatCount += 1;
-    for (const [index, control] of ready.entries()) {
-      if ((index + this.heartbeatCount) % 2 === 0) control.send(ANNOUNCE, this.record);
-    }
-  }
-
   private announceTo(name: string): void {
     this.controls.get(name)?.send(ANNOUNCE, this.record);
   }
