Pass on each heartbeat of an endpoint once

An entry reads every heartbeat from the control process in its zone and from another one. The second copy was resolved to a whole heartbeat and handed to the endpoint pool, which ignored it. Digests whose sequence number was already passed on are now dropped first.

The number of heartbeats passed on is halved (test).

--- a/packages/gateway/src/endpoint-feed.test.ts
+++ b/packages/gateway/src/endpoint-feed.test.ts
@@ -85,10 +85,12 @@
 class Reader {
   readonly clock = { nowMs: 0 };
   readonly latest = new Map<string, AgedHeartbeat>();
+  passedOnCount = 0;
   readonly feed = new EndpointFeed({
     nowMs: () => this.clock.nowMs,
     requestTimeoutMs: 700,
     onHeartbeats: (heartbeats) => {
+      this.passedOnCount += heartbeats.length;
       for (const aged of heartbeats) this.latest.set(aged.heartbeat.endpointId, aged);
     },
   });
@@ -131,6 +133,21 @@
     },
   );
 
+  test(
+    title('passes on each heartbeat once, whichever control process sends it first'),
+    async (t) => {
+      const reader = new Reader();
+      const controls = ['a', 'b'].map((name) => new FakeControl(name, reader.clock));
+      for (const control of controls) control.beat(1);
+      for (const control of controls) await reader.poll(control);
+      reader.passedOnCount = 0;
+      for (const control of controls) control.beat(2);
+      for (const control of controls) await reader.poll(control);
+      t.deepEqual(reader.sequences, [2]);
+      t.is(reader.passedOnCount, ENDPOINTS);
+    },
+  );
+
   // After a start of the fleet all endpoints warm up, and each heartbeat states another time.
   test(title('reads no description again while endpoints warm up'), async (t) => {
     const reader = new Reader();
--- a/packages/gateway/src/endpoint-feed.ts
+++ b/packages/gateway/src/endpoint-feed.ts
@@ -5,7 +5,13 @@
  * whose request times out repeats one page and not the whole list.
  */
 import { KnownDescriptions } from '@shedline/fleet';
-import type { AgedHeartbeat, DigestDelta, RegistryCursor, RegistryDelta } from '@shedline/fleet';
+import type {
+  AgedHeartbeat,
+  DigestDelta,
+  HeartbeatDigest,
+  RegistryCursor,
+  RegistryDelta,
+} from '@shedline/fleet';
 import type { RefreshRequest } from '@shedline/fleet-control';
 import type { PeerClient } from '@shedline/transport';
 
@@ -31,6 +37,8 @@
   private readonly options: EndpointFeedOptions;
   private readonly cursors = new Map<string, RegistryCursor>();
   private readonly descriptions = new KnownDescriptions();
+  /** Sequence number of the last heartbeat that was passed on, by fingerprint of its description. */
+  private readonly lastSequences = new Map<number, number>();
   private forgottenAtMs = 0;
 
   constructor(options: EndpointFeedOptions) {
@@ -69,14 +77,31 @@
     if (nowMs - this.forgottenAtMs < FORGET_INTERVAL_MS) return;
     this.forgottenAtMs = nowMs;
     this.descriptions.forgetUnused(nowMs);
+    this.lastSequences.clear();
+  }
+
+  private isPassedOn([fingerprint, sequence]: HeartbeatDigest): boolean {
+    return (this.lastSequences.get(fingerprint) ?? -Infinity) >= sequence;
+  }
+
+  private noteSequences(
+    digests: readonly HeartbeatDigest[],
+    unknownFingerprints: ReadonlySet<number>,
+  ): void {
+    for (const [fingerprint, sequence] of digests) {
+      if (!unknownFingerprints.has(fingerprint)) this.lastSequences.set(fingerprint, sequence);
+    }
   }
 
   private async applyDigests(control: PeerClient, { digests }: DigestDelta): Promise<void> {
+    // Each heartbeat is read from several control processes; only the first copy has an effect.
+    const news = digests.filter((digest) => !this.isPassedOn(digest));
     const { heartbeats, unknownFingerprints } = this.descriptions.resolve(
-      digests,
+      news,
       this.options.nowMs(),
     );
     this.options.onHeartbeats(heartbeats);
+    this.noteSequences(news, new Set(unknownFingerprints));
     for (let first = 0; first < unknownFingerprints.length; first += MAX_HEARTBEATS_PER_REPLY) {
       const fingerprints = unknownFingerprints.slice(first, first + MAX_HEARTBEATS_PER_REPLY);
       const { requestTimeoutMs } = this.options;
