Recompute the union of member lists only for the kind that changed

Each connected control process reports each change of the member list. Every report made an entry compute the unions of all kinds anew, choose its connections to control processes, and schedule a refresh of its subsets, although only the first report changed anything, and only for one kind.

Changes are now counted per kind, and a union that did not change stays the same array. Connections to control processes are chosen anew only if these changed, and at each tick.

--- a/packages/mesh/src/member-view.ts
+++ b/packages/mesh/src/member-view.ts
@@ -11,6 +11,8 @@
  */
 const LIST_LEASE_MS = 2600;
 
+const MEMBER_KINDS: readonly MemberKind[] = ['entry', 'control', 'store'];
+
 interface ReceivedList {
   readonly members: Map<string, MemberRecord>;
   version: number;
@@ -20,8 +22,8 @@
 /** Union of the recently received lists. */
 export class MemberView {
   private readonly lists = new Map<string, ReceivedList>();
-  /** Increases with each change of a list. */
-  private changeCount = 0;
+  /** Increases for each kind with each change of its records in a list. */
+  private readonly changeCounts: Record<MemberKind, number> = { entry: 0, control: 0, store: 0 };
   /**
    * Last result of {@link live} for each kind, with a key of the lists that it was computed from.
    */
@@ -40,18 +42,29 @@
     if (since === undefined) {
       const members = new Map(changed.map((record) => [record.name, record]));
       this.lists.set(from, { members, version, lastReceivedAtMs: nowMs });
-      this.changeCount += 1;
+      for (const kind of MEMBER_KINDS) this.changeCounts[kind] += 1;
       return true;
     }
     if (known?.version !== since) return false;
-    if (gone.length > 0 || changed.length > 0) this.changeCount += 1;
-    for (const name of gone) known.members.delete(name);
-    for (const record of changed) known.members.set(record.name, record);
+    for (const name of gone) this.removeFrom(known, name);
+    for (const record of changed) this.putInto(known, record);
     known.version = version;
     known.lastReceivedAtMs = nowMs;
     return true;
   }
 
+  private putInto({ members }: ReceivedList, record: MemberRecord): void {
+    members.set(record.name, record);
+    this.changeCounts[record.kind] += 1;
+  }
+
+  private removeFrom({ members }: ReceivedList, name: string): void {
+    const removed = members.get(name);
+    if (removed === undefined) return;
+    members.delete(name);
+    this.changeCounts[removed.kind] += 1;
+  }
+
   /**
    * Returns the lists in use with their control processes: the fresh ones, or all if none is fresh.
    */
@@ -78,21 +91,37 @@
     return [...this.lists.values()].some((list) => nowMs - list.lastReceivedAtMs < LIST_LEASE_MS);
   }
 
-  /** Returns the processes of a kind that are up, one record each. */
+  /**
+   * Returns the processes of a kind that are up, one record each. The result is the same array until
+   * a record of this kind changes: every control process reports each change, and only the first
+   * report changes the union.
+   */
   live(kind: MemberKind, nowMs: number): readonly MemberRecord[] {
     const current = this.currentLists(nowMs);
-    const key = `${this.changeCount}|${current.map(([name]) => name).join()}`;
+    const key = `${this.changeCounts[kind]}|${current.map(([name]) => name).join()}`;
     const cached = this.cachedUnions.get(kind);
     if (cached?.key === key) return cached.members;
-    const members = unionOf(
+    const union = unionOf(
       kind,
       current.map(([, list]) => list),
     );
+    const members = cached !== undefined && isSame(union, cached.members) ? cached.members : union;
     this.cachedUnions.set(kind, { key, members });
     return members;
   }
 }
 
+/** Whether two unions contain the same versions of the same records. */
+function isSame(a: readonly MemberRecord[], b: readonly MemberRecord[]): boolean {
+  return (
+    a.length === b.length &&
+    a.every(({ name, epoch, sequence }, index) => {
+      const other = b[index];
+      return name === other?.name && epoch === other.epoch && sequence === other.sequence;
+    })
+  );
+}
+
 /** Returns the records of a kind in any of the lists, one per process, ordered by name. */
 function unionOf(kind: MemberKind, lists: readonly ReceivedList[]): MemberRecord[] {
   const byName = new Map<string, MemberRecord>();
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -166,4 +166,23 @@
       t.is(view.live('entry', 3000).length, 0);
     },
   );
+
+  /** Guards against entries that recompute their subsets once for each control process. */
+  test(title('a change that another control process reported before causes no new result'), (t) => {
+    const view = new MemberView();
+    const store = record({ name: '10.0.0.9:7720', kind: 'store' });
+    for (const control of ['c1', 'c2']) view.applyChanges(control, wholeList(record(), store), 0);
+    const entries = view.live('entry', 0);
+    const change = { since: 1, version: 2, gone: [] };
+    const draining = record({ sequence: 2, state: 'draining' });
+    view.applyChanges('c1', { ...change, changed: [draining] }, 0);
+    const changed = view.live('entry', 0);
+    t.not(changed, entries);
+    t.is(changed[0]?.state, 'draining');
+    view.applyChanges('c2', { ...change, changed: [draining] }, 0);
+    t.is(view.live('entry', 0), changed);
+    view.applyChanges('c1', { ...change, since: 2, changed: [], gone: [store.name] }, 0);
+    t.is(view.live('store', 0).length, 1, 'the other control process still lists it');
+    t.is(view.live('entry', 0), changed, 'a change of a store does not concern entries');
+  });
 });
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -60,6 +60,8 @@
   private record: MemberRecord;
   private timer: NodeJS.Timeout | undefined;
   private wasInContact = false;
+  /** Control processes that the connections were last chosen from. */
+  private lastControls: readonly MemberRecord[] = [];
   private changeTimer: NodeJS.Timeout | undefined;
 
   constructor(options: MeshOptions) {
@@ -212,6 +214,7 @@
    */
   private updateControls(): void {
     const controls = this.live('control');
+    this.lastControls = controls;
     this.updateKnownCore(controls);
     const wanted = controlsToConnect({
       seeds: this.seeds,
@@ -283,7 +286,8 @@
     if (this.seeds.some(({ name }) => name === link.peerName))
       this.seedsWithList.add(link.peerName);
     if (changes.changed.length === 0 && changes.gone.length === 0) return;
-    this.updateControls();
+    if (changes.since === undefined || this.live('control') !== this.lastControls)
+      this.updateControls();
     this.scheduleChangeNotice();
   }
 
