Build the sort keys of endpoint subsets once

Every entry recomputes the subsets at each change of entries or endpoints, and the comparison of the sort concatenated zone and name of both sides each time. The keys are now built once per member. The order is the same, so old and new processes compute the same subsets: 2,000 random fleets compared.

One computation for 64 entries and 42 endpoints, three runs each, alternating: 349, 303 and 280 us before, 172, 136 and 207 us after; the first 20 of a process 790, 461, 482 and 608, 524, 551 us.

--- a/packages/directory/src/endpoint-subsets.ts
+++ b/packages/directory/src/endpoint-subsets.ts
@@ -119,9 +119,12 @@
   return Math.min(endpoints, Math.max(needed, bounded));
 }
 
+/** Sorts names by zone, then by name; builds each key once, as the sort compares it several times. */
 function sortByZone(items: readonly ZonedName[]): string[] {
-  const keyOf = (item: ZonedName): string => `${item.availabilityZone}|${item.name}`;
-  return [...items].sort((a, b) => (keyOf(a) < keyOf(b) ? -1 : 1)).map(({ name }) => name);
+  return items
+    .map(({ name, availabilityZone }) => ({ name, key: `${availabilityZone}|${name}` }))
+    .sort((a, b) => (a.key < b.key ? -1 : 1))
+    .map(({ name }) => name);
 }
 
 /** Returns an element of a list that wraps around at both ends. */
