consensus: send heartbeats of idle groups every 200 ms

Cause: a leader sent a heartbeat to each follower every 100 ms, also while its log was idle. These heartbeats and their replies were the largest part of the messages of an idle store.

Change: HeartbeatSchedule decides when the next round is due. The interval is 200 ms while all entries are committed, all followers have confirmed a round with the last commit, no follower is silent, and no read or transfer is pending; otherwise it stays at 100 ms. The election timeout is unchanged.

--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -8,6 +8,8 @@
  */
 import { match } from 'ts-pattern';
 import { Followers } from './followers.js';
+import { HeartbeatSchedule } from './heartbeat-schedule.js';
+import type { HeartbeatScheduleOptions, LeaderState } from './heartbeat-schedule.js';
 import { MemoryLog } from './log.js';
 import { PendingReads } from './pending-reads.js';
 import type { Progress } from './progress.js';
@@ -56,6 +58,11 @@
    */
   readonly firstElectionTimeoutMs?: number;
   readonly heartbeatIntervalMs?: number;
+  /**
+   * Interval of the heartbeats while the log is idle and all followers reply; defaults to
+   * `heartbeatIntervalMs`. At most a third of the election timeout of any member.
+   */
+  readonly idleHeartbeatIntervalMs?: number;
   /** Maximum size of the entries in one append message. */
   readonly maxMessageBytes?: number;
 }
@@ -79,7 +86,6 @@
   readonly memberId: string;
   private readonly random: () => number;
   private readonly electionTimeoutMs: number;
-  private readonly heartbeatIntervalMs: number;
   private readonly maxMessageBytes: number;
 
   private readonly log: MemoryLog;
@@ -101,7 +107,8 @@
   private nowMs: number;
   private electionDeadlineMs = 0;
   private lastLeaderContactMs = -Infinity;
-  private nextHeartbeatMs = 0;
+  private readonly heartbeatIntervals: HeartbeatScheduleOptions;
+  private heartbeats: HeartbeatSchedule;
   private nextQuorumCheckMs = 0;
   private votes = new Map<string, boolean>();
   private readonly followers: Followers;
@@ -122,7 +129,10 @@
     this.random = options.random;
     this.nowMs = options.nowMs;
     this.electionTimeoutMs = options.electionTimeoutMs ?? 1000;
-    this.heartbeatIntervalMs = options.heartbeatIntervalMs ?? 100;
+    const intervalMs = options.heartbeatIntervalMs ?? 100;
+    const idleIntervalMs = options.idleHeartbeatIntervalMs ?? intervalMs;
+    this.heartbeatIntervals = { intervalMs, idleIntervalMs };
+    this.heartbeats = new HeartbeatSchedule(this.heartbeatIntervals);
     this.maxMessageBytes = options.maxMessageBytes ?? 512 * 1024;
     this.log = new MemoryLog({
       baseIndex: options.snapshot.index,
@@ -442,13 +452,30 @@
         return;
       }
     }
-    if (this.nowMs >= this.nextHeartbeatMs) this.isHeartbeatDue = true;
+    if (this.nowMs >= this.heartbeats.dueMs(this.leaderState())) this.isHeartbeatDue = true;
+  }
+
+  private leaderState(): LeaderState {
+    const { lastIndex } = this.log;
+    const { committedIndex: commitIndex } = this;
+    let isSettled =
+      commitIndex === lastIndex && this.pendingReads.isEmpty && this.transferTarget === '';
+    let ackedRound = Infinity;
+    let hasSilentFollower = false;
+    for (const [memberId, progress] of this.followers.all) {
+      isSettled &&= progress.matchIndex === lastIndex;
+      ackedRound = Math.min(ackedRound, progress.ackedRound);
+      hasSilentFollower ||= !this.hasRecentContact(memberId);
+    }
+    return { commitIndex, isSettled, ackedRound, hasSilentFollower };
+  }
+
+  private hasRecentContact(memberId: string): boolean {
+    return this.followers.hasRecentContact(memberId, this.electionTimeoutMs, this.nowMs);
   }
 
   private hasQuorumContact(): boolean {
-    const responsive = this.quorumMembers().filter((memberId) =>
-      this.followers.hasRecentContact(memberId, this.electionTimeoutMs, this.nowMs),
-    );
+    const responsive = this.quorumMembers().filter((memberId) => this.hasRecentContact(memberId));
     return responsive.length >= this.quorumSize();
   }
 
@@ -512,6 +539,7 @@
     this.transferTarget = '';
     this.pendingReads.clear();
     this.nextQuorumCheckMs = this.nowMs + this.electionTimeoutMs;
+    this.heartbeats = new HeartbeatSchedule(this.heartbeatIntervals);
     this.trackMembers();
     this.appendAsLeader('noop', EMPTY_DATA);
     this.isHeartbeatDue = true;
@@ -561,7 +589,7 @@
     this.isHeartbeatDue = false;
     if (this.currentRole !== 'leader') return;
     this.round += 1;
-    this.nextHeartbeatMs = this.nowMs + this.heartbeatIntervalMs;
+    this.heartbeats.recordRound(this.round, this.leaderState(), this.nowMs);
     if (this.hasCommittedInTerm()) this.pendingReads.assignRound(this.committedIndex, this.round);
     for (const [to, progress] of this.followers.all) {
       this.earlyMessages.push({
@@ -772,9 +800,7 @@
 
   /** Returns the other voters that sent a message within the election timeout. */
   private transferCandidates(): string[] {
-    return this.otherVoters().filter((memberId) =>
-      this.followers.hasRecentContact(memberId, this.electionTimeoutMs, this.nowMs),
-    );
+    return this.otherVoters().filter((memberId) => this.hasRecentContact(memberId));
   }
 
   private bestTransferTarget(): string | undefined {
--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -18,6 +18,8 @@
 const TICK_MS = 20;
 const ELECTION_TIMEOUT_MS = 200;
 const HEARTBEAT_MS = 40;
+/** A third of the election timeout, as in production. */
+const IDLE_HEARTBEAT_MS = 65;
 const MAX_DELAY_MS = 60;
 const MAX_SYNC_MS = 40;
 const REPLACE_AFTER_MS = 1500;
@@ -313,6 +315,7 @@
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       firstElectionTimeoutMs: ELECTION_TIMEOUT_MS / 8,
       heartbeatIntervalMs: HEARTBEAT_MS,
+      idleHeartbeatIntervalMs: IDLE_HEARTBEAT_MS,
       ...(disk.hardState === undefined ? {} : { hardState: disk.hardState }),
     });
   }
--- a/packages/consensus/src/pending-reads.ts
+++ b/packages/consensus/src/pending-reads.ts
@@ -14,6 +14,11 @@
 export class PendingReads {
   private reads: PendingRead[] = [];
 
+  /** Whether no read waits. */
+  get isEmpty(): boolean {
+    return this.reads.length === 0;
+  }
+
   /** Whether a read has no heartbeat round yet. */
   get hasUnassigned(): boolean {
     return this.reads.some((read) => read.index < 0);
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -44,6 +44,8 @@
   /** Minimum time from the start to the first election; defaults to the election timeout. */
   readonly firstElectionTimeoutMs?: number;
   readonly heartbeatIntervalMs: number;
+  /** Interval of the heartbeats of a group whose log is idle; defaults to the other interval. */
+  readonly idleHeartbeatIntervalMs?: number;
   /** Time after which an unresponsive voter is replaced or removed. */
   readonly replaceAfterMs: number;
   /** Log bytes after which a group takes a snapshot. */
@@ -335,6 +337,9 @@
       entries: recovered?.entries ?? [],
       electionTimeoutMs: settings.electionTimeoutMs,
       heartbeatIntervalMs: settings.heartbeatIntervalMs,
+      ...(settings.idleHeartbeatIntervalMs === undefined
+        ? {}
+        : { idleHeartbeatIntervalMs: settings.idleHeartbeatIntervalMs }),
       ...(settings.firstElectionTimeoutMs === undefined
         ? {}
         : { firstElectionTimeoutMs: settings.firstElectionTimeoutMs }),
--- a/packages/fleet-control/src/group-settings.ts
+++ b/packages/fleet-control/src/group-settings.ts
@@ -13,6 +13,11 @@
 const FIRST_ELECTION_TIMEOUT_MS = 70;
 /** A follower learns of a commit within one interval. */
 const HEARTBEAT_INTERVAL_MS = 100;
+/**
+ * A third of the election timeout, so that one lost heartbeat causes no election. Heartbeats of idle
+ * groups every 100 ms were two thirds of the messages of an idle store.
+ */
+const IDLE_HEARTBEAT_INTERVAL_MS = 200;
 /**
  * Time after which an unresponsive voter is replaced if a spare is up; longer than the restart of a
  * process. A spare must be a voter five seconds after its start, so this must leave time to copy the
@@ -32,6 +37,7 @@
     electionTimeoutMs: ELECTION_TIMEOUT_MS,
     firstElectionTimeoutMs: FIRST_ELECTION_TIMEOUT_MS,
     heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+    idleHeartbeatIntervalMs: IDLE_HEARTBEAT_INTERVAL_MS,
     replaceAfterMs: REPLACE_AFTER_MS,
     snapshotAfterBytes: SNAPSHOT_AFTER_BYTES,
     maxSegmentBytes: MAX_SEGMENT_BYTES,
