control: tick the groups only when something is due

Cause: each process with log groups woke 50 times per second to tick its members, which had nothing to do in nearly all cases.

Change: Consensus.nextTickMs tells when the next tick is due, and TickSchedule arms one timer for it; an event that makes it earlier arms the timer again. A timer that fires more than 50 ms late lets the messages that have arrived be read before the tick: a process that was suspended has not read yet that its leader is up. Leader tasks tick first, since the membership planner uses the times of the last tick.

--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -232,6 +232,19 @@
     if (nowMs >= this.electionDeadlineMs && this.isVoter(this.memberId)) this.startPreVote();
   }
 
+  /**
+   * Time at which {@link tick} has something to do, in the time of `nowMs`; it may become earlier with
+   * each event. A later tick delays elections and heartbeats.
+   */
+  get nextTickMs(): number {
+    if (this.currentRole !== 'leader') {
+      return this.isVoter(this.memberId) ? this.electionDeadlineMs : Infinity;
+    }
+    const transferMs = this.transferTarget === '' ? Infinity : this.transferDeadlineMs;
+    const heartbeatMs = this.heartbeats.dueMs(this.leaderState());
+    return Math.min(heartbeatMs, this.nextQuorumCheckMs, transferMs);
+  }
+
   /** Handles a message from another member; a message for another member id is ignored. */
   receive(message: ConsensusMessage, nowMs: number): void {
     this.nowMs = nowMs;
--- a/packages/control/src/group-host.ts
+++ b/packages/control/src/group-host.ts
@@ -33,6 +33,8 @@
   readonly snapshotAfterBytes: number;
   readonly send: (group: number, message: ConsensusMessage) => void;
   readonly offerSnapshot: (group: number, memberId: string) => void;
+  /** Called after events that may have changed when the next tick is due. */
+  readonly onTickChange: (nextTickMs: number) => void;
   readonly onRoleChange: (host: GroupHost, isLeader: boolean) => void;
 }
 
@@ -227,6 +229,7 @@
       if (isEmpty(ready)) {
         // Cleared before any await, so that the next event starts a new loop.
         this.isPumping = false;
+        this.options.onTickChange(this.consensus.nextTickMs);
         return;
       }
       for (const message of ready.earlyMessages) this.options.send(this.group, message);
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -24,9 +24,9 @@
 import type { PresenceMessage } from './peer-presence.js';
 import { SnapshotExchange } from './snapshot-exchange.js';
 import type { GroupStateMachine } from './state-machine.js';
+import { TickSchedule } from './tick-schedule.js';
 
-/** Short, so that members with different election timeouts do not campaign in the same tick. */
-const TICK_MS = 20;
+const TRANSFER_CHECK_MS = 20;
 const LEADER_TASK_INTERVAL_MS = 250;
 const HOUSEKEEP_INTERVAL_MS = 10_000;
 const LEADER_BALANCE_INTERVAL_MS = 5000;
@@ -105,6 +105,8 @@
   private ownMemberId = '';
   private clusterDocument: ClusterDocument | undefined;
   private timers: NodeJS.Timeout[] = [];
+  private readonly tickSchedule = new TickSchedule();
+  private tickTimer: NodeJS.Timeout | undefined;
   private stopped = false;
 
   constructor(options: GroupNodeOptions) {
@@ -203,6 +205,7 @@
     this.stopped = true;
     for (const timer of this.timers) clearInterval(timer);
     this.timers = [];
+    clearTimeout(this.tickTimer);
     for (const host of this.hosts.values()) host.close();
   }
 
@@ -360,18 +363,19 @@
       offerSnapshot: (from, memberId) => {
         this.snapshots.offer(from, memberId, this.ownMemberId);
       },
+      onTickChange: (nextTickMs) => {
+        this.armTick(nextTickMs);
+      },
       onRoleChange: (changed, isLeader) => {
         this.onRoleChange(changed, isLeader);
       },
     });
     this.hosts.set(group, host);
+    this.armTick(consensus.nextTickMs);
     return host;
   }
 
   private startTimers(): void {
-    this.every(TICK_MS, () => {
-      this.tick();
-    });
     this.every(PRESENCE_INTERVAL_MS, () => {
       this.announcePresence();
     });
@@ -392,9 +396,34 @@
     this.timers.push(setInterval(work, intervalMs));
   }
 
+  private armTick(nextTickMs: number): void {
+    if (this.stopped) return;
+    const delayMs = this.tickSchedule.arm(nextTickMs, this.options.nowMs());
+    if (delayMs === undefined) return;
+    clearTimeout(this.tickTimer);
+    this.tickTimer = setTimeout(() => {
+      if (this.tickSchedule.fired(this.options.nowMs()))
+        setImmediate(() => {
+          this.tick();
+        });
+      else this.tick();
+    }, delayMs);
+  }
+
+  /** Ticks the groups if one is due; otherwise the timer was early, or its group received messages. */
   private tick(): void {
+    if (this.stopped) return;
     const nowMs = this.options.nowMs();
-    for (const host of this.hosts.values()) host.tick(nowMs);
+    if (this.nextTickMs() <= nowMs) {
+      this.tickSchedule.ticked(nowMs);
+      for (const host of this.hosts.values()) host.tick(nowMs);
+    }
+    this.armTick(this.nextTickMs());
+  }
+
+  private nextTickMs(): number {
+    const hosts = [...this.hosts.values()];
+    return Math.min(...hosts.map(({ consensus }) => consensus.nextTickMs));
   }
 
   private announcePresence(): void {
@@ -409,6 +438,8 @@
   private runLeaderTasks(): void {
     const nowMs = this.options.nowMs();
     for (const host of this.ledGroups()) {
+      // The planner compares times since the last contact, which are as old as the last tick.
+      host.tick(nowMs);
       const membershipOptions = this.membershipOptionsOf(host);
       repairMembers(membershipOptions);
       // A leader never removes itself, so another member has to lead.
@@ -444,7 +475,7 @@
     for (const host of transferable) host.transferLeadership(nowMs());
     const deadlineMs = nowMs() + MAX_TRANSFER_WAIT_MS;
     while (transferable.some((host) => host.isLeader) && nowMs() < deadlineMs) {
-      await pause(TICK_MS);
+      await pause(TRANSFER_CHECK_MS);
     }
   }
 
