fleet-control: forward repeated heartbeats of endpoints in larger batches

Cause: a control process forwarded each heartbeat of an endpoint to all other control processes within 50 ms, so that most messages carried one heartbeat.

Change: forwardingUrgency tells heartbeats that only repeat the previous one from those that say something new or end a silence. Repeated ones wait up to a third of the heartbeat interval (400 ms by default); others are sent after 10 or 50 ms as before, together with those that wait.

--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -25,6 +25,7 @@
 import { SavedEndpoints } from './saved-endpoints.js';
 import type { QuotaRequest, UsageReport } from '@shedline/quota';
 import { FleetStateMachine, FLEET_GROUP } from './group-state-machines.js';
+import { forwardingUrgency } from './forwarding-urgency.js';
 import { groupSettings } from './group-settings.js';
 import { HeartbeatBatcher } from './heartbeat-batcher.js';
 import { callPortsOf } from './peer-ports.js';
@@ -174,11 +175,12 @@
 
   /** Records a heartbeat of an endpoint and forwards it to other processes. */
   receiveHeartbeat(heartbeat: EndpointHeartbeat): void {
-    const known = this.registry.runOf(heartbeat.endpointId);
-    const isNewIncarnation = known?.startedAtMs !== heartbeat.startedAtMs;
-    if (!this.registry.record(heartbeat, 0, this.nowMs())) return;
+    const nowMs = this.nowMs();
+    const known = this.registry.latestOf(heartbeat.endpointId, nowMs);
+    const urgency = forwardingUrgency(heartbeat, known, this.settings.heartbeatMs);
+    if (!this.registry.record(heartbeat, 0, nowMs)) return;
     // Other processes poll at short intervals; only new incarnations are pushed to all of them.
-    this.heartbeatBatcher.add(heartbeat, isNewIncarnation);
+    this.heartbeatBatcher.add(heartbeat, urgency);
   }
 
   /** Records that an endpoint incarnation drains; resolves once a quorum has stored the record. */
@@ -299,6 +301,7 @@
 
   private createHeartbeatBatcher(): HeartbeatBatcher {
     return new HeartbeatBatcher({
+      heartbeatMs: this.settings.heartbeatMs,
       nowMs: this.nowMs,
       sendToControls: (heartbeats) => {
         for (const control of this.core.mesh.controls.ready) control.send('heartbeats', heartbeats);
--- a/packages/fleet-control/src/heartbeat-batcher.ts
+++ b/packages/fleet-control/src/heartbeat-batcher.ts
@@ -4,14 +4,13 @@
  * batching, each heartbeat would cost one write and one read per peer.
  */
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
-
-/** Short compared with the time within which a started endpoint should receive requests. */
-const FIRST_HEARTBEAT_DELAY_MS = 10;
-/** Short compared with the heartbeat interval; an endpoint is missing after two intervals. */
-const BATCH_DELAY_MS = 50;
+import { maxForwardingDelayMs } from './forwarding-urgency.js';
+import type { ForwardingUrgency } from './forwarding-urgency.js';
 
 /** Options of {@link HeartbeatBatcher}. */
 export interface HeartbeatBatcherOptions {
+  /** Interval between the heartbeats of an endpoint. */
+  readonly heartbeatMs: number;
   readonly nowMs: () => number;
   /** Sends heartbeats to the other control processes. */
   readonly sendToControls: (heartbeats: readonly AgedHeartbeat[]) => void;
@@ -22,7 +21,7 @@
 interface PendingHeartbeat {
   readonly heartbeat: EndpointHeartbeat;
   readonly receivedAtMs: number;
-  readonly isNewIncarnation: boolean;
+  readonly urgency: ForwardingUrgency;
 }
 
 /** Collects heartbeats and forwards them in batches. */
@@ -30,30 +29,23 @@
   private readonly options: HeartbeatBatcherOptions;
   private pending: PendingHeartbeat[] = [];
   private timer: NodeJS.Timeout | undefined;
-  private hasNewIncarnations = false;
+  private flushAtMs = Infinity;
 
   constructor(options: HeartbeatBatcherOptions) {
     this.options = options;
   }
 
-  /** Adds a heartbeat received now; `isNewIncarnation` if it is the first of its incarnation. */
-  add(heartbeat: EndpointHeartbeat, isNewIncarnation: boolean): void {
-    this.pending.push({
-      heartbeat,
-      receivedAtMs: this.options.nowMs(),
-      isNewIncarnation,
-    });
-    if (isNewIncarnation && !this.hasNewIncarnations) {
-      this.hasNewIncarnations = true;
-      clearTimeout(this.timer);
-      this.timer = undefined;
-    }
-    this.timer ??= setTimeout(
-      () => {
-        this.flush();
-      },
-      this.hasNewIncarnations ? FIRST_HEARTBEAT_DELAY_MS : BATCH_DELAY_MS,
-    );
+  /** Adds a heartbeat received now; all pending ones are sent when the most urgent one has to be. */
+  add(heartbeat: EndpointHeartbeat, urgency: ForwardingUrgency): void {
+    const receivedAtMs = this.options.nowMs();
+    this.pending.push({ heartbeat, receivedAtMs, urgency });
+    const delayMs = maxForwardingDelayMs(urgency, this.options.heartbeatMs);
+    if (receivedAtMs + delayMs >= this.flushAtMs) return;
+    this.flushAtMs = receivedAtMs + delayMs;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      this.flush();
+    }, delayMs);
   }
 
   /** Discards the pending heartbeats. */
@@ -63,11 +55,10 @@
   }
 
   private flush(): void {
-    this.timer = undefined;
-    this.hasNewIncarnations = false;
+    this.flushAtMs = Infinity;
     const batch = this.pending;
     this.pending = [];
-    const firstHeartbeats = batch.filter(({ isNewIncarnation }) => isNewIncarnation);
+    const firstHeartbeats = batch.filter(({ urgency }) => urgency === 'firstOfRun');
     if (firstHeartbeats.length > 0) this.options.sendToAll(this.withAges(firstHeartbeats));
     this.options.sendToControls(this.withAges(batch));
   }
--- a/packages/fleet/src/endpoint-registry.ts
+++ b/packages/fleet/src/endpoint-registry.ts
@@ -72,6 +72,12 @@
     return this.latest.get(endpointId)?.heartbeat;
   }
 
+  /** Returns the latest heartbeat of an endpoint; undefined if it has expired or is unknown. */
+  latestOf(endpointId: string, nowMs: number): AgedHeartbeat | undefined {
+    const received = this.latest.get(endpointId);
+    return received === undefined ? undefined : agedHeartbeatOf(received, nowMs);
+  }
+
   /**
    * Records a heartbeat that was sent `ageMs` ago. Returns false if a newer heartbeat or a later
    * incarnation is known.
