control: announce presence less often and reply to it between stores

Cause: each process with log groups announced itself to each peer every 500 ms. Connections between stores carry messages in one direction only, so that each end that receives nothing was pinged after 850 ms as well.

A store asks for a reply over the same connection, which arrives before a ping is due. A process of an earlier version neither asks nor replies; its connections are pinged as before. Detection of a silent connection is unchanged.

--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '@shedline/logger';
 import { DiskItemFiles, NodeFileSystem, Storage, lockFolder } from '@shedline/storage';
 import type { RecoveredGroup, ReleaseLock } from '@shedline/storage';
-import type { PeerConnections } from '@shedline/transport';
+import type { Link, PeerConnections } from '@shedline/transport';
 import type { HelloAnswer } from './bootstrap.js';
 import { GroupHost } from './group-host.js';
 import { initialConfig, loadCluster, loadMemberId, saveCluster } from './identity.js';
@@ -20,8 +20,9 @@
 import type { MembershipTaskOptions } from './membership-tasks.js';
 import { MessageBatcher } from './message-batcher.js';
 import type { ConsensusBatch } from './message-batcher.js';
-import { PRESENCE_INTERVAL_MS, PeerPresence } from './peer-presence.js';
+import { PeerPresence } from './peer-presence.js';
 import type { PresenceMessage } from './peer-presence.js';
+import { PRESENCE_CHECK_INTERVAL_MS } from './presence-schedule.js';
 import { SnapshotExchange } from './snapshot-exchange.js';
 import type { GroupStateMachine } from './state-machine.js';
 import { TickSchedule } from './tick-schedule.js';
@@ -78,6 +79,11 @@
   readonly role: GroupNodeRole;
   /** Connections to the other processes of the cluster. */
   readonly peers: PeerConnections;
+  /**
+   * Whether peers reply to announcements. For connections on which only this process sends: without
+   * replies, each of them is pinged.
+   */
+  readonly wantsPresenceReplies?: boolean;
   readonly logger: Logger;
   readonly random: () => number;
   /** Returns monotonic time in milliseconds. */
@@ -250,11 +256,11 @@
   }
 
   /** Handles a one-way message of a peer; returns false if the method does not concern groups. */
-  onMessage(method: string, payload: unknown): boolean {
+  onMessage(method: string, payload: unknown, link?: Pick<Link, 'send'>): boolean {
     if (this.stopped) return true;
     switch (method) {
       case 'presence':
-        this.presence.receive(payload as PresenceMessage, this.clusterDocument?.clusterId);
+        this.presence.receive(payload as PresenceMessage, this.clusterDocument?.clusterId, link);
         return true;
       case 'consensus':
         this.onConsensus(payload as ConsensusBatch);
@@ -376,7 +382,7 @@
   }
 
   private startTimers(): void {
-    this.every(PRESENCE_INTERVAL_MS, () => {
+    this.every(PRESENCE_CHECK_INTERVAL_MS, () => {
       this.announcePresence();
     });
     this.every(LEADER_TASK_INTERVAL_MS, () => {
@@ -432,6 +438,7 @@
       instance: this.options.name,
       memberId,
       clusterId: clusterDocument?.clusterId,
+      ...(this.options.wantsPresenceReplies === true ? { wantsReply: true } : {}),
     });
   }
 
--- a/packages/control/src/peer-presence.test.ts
+++ b/packages/control/src/peer-presence.test.ts
@@ -39,6 +39,17 @@
     t.deepEqual(presence.liveIds, []);
   });
 
+  // Without a reply the peer pings the connection, or closes it.
+  test(title('replies over the connection of the announcement, only if asked to'), (t) => {
+    const presence = createPresence({ nowMs: 0 });
+    const sent: string[] = [];
+    const link = { send: (method: string) => sent.push(method) };
+    presence.receive(PEER, 'c', link);
+    t.deepEqual(sent, [], 'earlier versions do not ask');
+    presence.receive({ ...PEER, wantsReply: true }, undefined, link);
+    t.deepEqual(sent, ['presenceReply']);
+  });
+
   test(title('treats a peer that lost its disk as another member'), (t) => {
     const clock = { nowMs: 0 };
     const presence = createPresence(clock);
--- a/packages/control/src/peer-presence.ts
+++ b/packages/control/src/peer-presence.ts
@@ -1,12 +1,13 @@
 /**
- * Tracks which processes of the cluster are up, from the announcements that they send every
- * 500 ms, and their member ids: a process that lost its disk restarts with another member id.
+ * Tracks which processes of the cluster are up, from the announcements that they send
+ * periodically, and their member ids: a process that lost its disk restarts with another member id.
  */
-import type { PeerConnections } from '@shedline/transport';
+import type { Link, PeerConnections } from '@shedline/transport';
 import type { Logger } from '@shedline/logger';
+import { PresenceSchedule } from './presence-schedule.js';
 
-/** Time between announcements. */
-export const PRESENCE_INTERVAL_MS = 500;
+/** Reply to an announcement, for the connection that carried it. */
+const PRESENCE_REPLY = 'presenceReply';
 /** Time without an announcement after which a process no longer counts as up. */
 const PRESENCE_LEASE_MS = 3000;
 
@@ -16,6 +17,11 @@
   readonly memberId: string;
   /** Cluster of the process; undefined while it is looking for one. */
   readonly clusterId: string | undefined;
+  /**
+   * Whether the receiver has to reply over the same connection, on which it sends nothing otherwise.
+   * Earlier versions neither ask nor reply; their connections are kept alive by pings.
+   */
+  readonly wantsReply?: boolean;
 }
 
 /** Options of {@link PeerPresence}. */
@@ -29,6 +35,7 @@
 export class PeerPresence {
   private readonly options: PeerPresenceOptions;
   private readonly lastSeen = new Map<string, { memberId: string; receivedAtMs: number }>();
+  private readonly schedule = new PresenceSchedule();
   private joinedAtMs = 0;
 
   constructor(options: PeerPresenceOptions) {
@@ -40,14 +47,23 @@
     this.joinedAtMs = this.options.nowMs();
   }
 
-  /** Announces this process to the peers. */
+  /** Announces this process to the peers for which an announcement is due; called periodically. */
   announce(own: PresenceMessage): void {
-    for (const peer of this.options.peers.ready) peer.send('presence', own);
+    const { peers, nowMs } = this.options;
+    const connected = peers.ready.map(({ peerName }) => peerName);
+    for (const name of this.schedule.due(connected, nowMs())) {
+      peers.get(name)?.send('presence', own);
+    }
     this.recordPresence(own);
   }
 
   /** Handles the announcement of a peer; ignores peers of another cluster. */
-  receive(message: PresenceMessage, clusterId: string | undefined): void {
+  receive(
+    message: PresenceMessage,
+    clusterId: string | undefined,
+    link?: Pick<Link, 'send'>,
+  ): void {
+    if (message.wantsReply === true) link?.send(PRESENCE_REPLY, null);
     // A process that is still looking for its cluster does not belong to one yet.
     if (message.clusterId === undefined || clusterId === undefined) return;
     if (message.clusterId !== clusterId) {
--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -471,7 +471,7 @@
   }
 
   private onMessage(method: string, payload: unknown, link: Pick<Link, 'send'>): void {
-    if (this.groups?.onMessage(method, payload) === true) return;
+    if (this.groups?.onMessage(method, payload, link) === true) return;
     if (method === 'quotaUse') this.recordUsage(payload as UsageReport[], link);
     if (method !== 'heartbeats') return;
     for (const { heartbeat, ageMs } of payload as AgedHeartbeat[]) {
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -69,9 +69,9 @@
       nowMs: this.nowMs,
       handlers: {
         onRequest: (method, payload) => this.onRequest(method, payload),
-        onMessage: (method, payload) => {
+        onMessage: (method, payload, link) => {
           if (method === 'fleetNews') this.state.fleet.applyDelta(payload as FleetDelta);
-          else this.groups.onMessage(method, payload);
+          else this.groups.onMessage(method, payload, link);
         },
       },
       onMembersChange: () => {
@@ -126,6 +126,7 @@
       name: this.core.name,
       settings: groupSettings(dataDir, toleratedLosses),
       peers: this.stores,
+      wantsPresenceReplies: true,
       logger: this.logger,
       random: this.random,
       nowMs: this.nowMs,
