consensus: test idle heartbeats beside voters of the previous version

The simulated group ticks its members only when nextTickMs says so, as the driver does, so that the property tests find a tick that is announced too late. A further test runs a group in which two of three voters send all heartbeats at one interval, as the previous version does.

--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -136,12 +136,18 @@
       this.inFlight = this.inFlight.filter((message) => message.dueAtMs > this.nowMs);
       for (const message of due) message.deliver();
       for (const member of this.up()) {
-        member.core.tick(this.clockOf(member));
+        this.tickIfDue(member);
         this.drive(member);
       }
     }
   }
 
+  /** Ticks as the driver does: a tick that is announced too late delays elections and heartbeats. */
+  private tickIfDue(member: Member): void {
+    const nowMs = this.clockOf(member);
+    if (member.core.nextTickMs <= nowMs) member.core.tick(nowMs);
+  }
+
   /** Proposes a command to the member on an instance. */
   propose(name: string): void {
     const member = this.members.get(name);
@@ -221,6 +227,7 @@
   repair(): void {
     const leader = this.leader();
     if (leader === undefined) return;
+    leader.core.tick(this.clockOf(leader));
     const members = new Map(
       [...leader.core.memberProgress()].map(([memberId, progress]) => [
         memberId,
--- a/packages/consensus/src/heartbeat-schedule.test.ts
+++ b/packages/consensus/src/heartbeat-schedule.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { describe, seededRandom, title } from '@shedline/test-utils';
-import { FakeGroup } from './fake-group.js';
+import { Consensus } from './consensus.js';
+import type { ConsensusOptions } from './consensus.js';
+import { DEFAULT_RULES, FakeGroup } from './fake-group.js';
 import { HeartbeatSchedule } from './heartbeat-schedule.js';
 import type { LeaderState } from './heartbeat-schedule.js';
 
@@ -66,7 +68,31 @@
   });
 });
 
+/** Creates members `b` and `c` as in the previous version, with one interval for all heartbeats. */
+function createMixed(options: ConsensusOptions): Consensus {
+  const idleHeartbeatIntervalMs = options.heartbeatIntervalMs ?? 100;
+  const isPrevious = !options.memberId.startsWith('a');
+  return new Consensus(isPrevious ? { ...options, idleHeartbeatIntervalMs } : options);
+}
+
 describe('idle heartbeats', () => {
+  // During a rolling update, voters of both versions lead and follow each other.
+  test(title('a group with voters of the previous version keeps its leader and commits'), (t) => {
+    for (let seed = 1; seed <= 30; seed += 1) {
+      const rules = { ...DEFAULT_RULES, createCore: createMixed };
+      const group = new FakeGroup({ random: seededRandom(seed), voters: 3, rules, lossRate: 0 });
+      group.run(2000);
+      const term = group.highestTerm;
+      group.run(10_000);
+      t.is(group.highestTerm, term, `seed ${seed}`);
+      for (let n = 0; n < 5; n += 1) group.propose(group.leader()?.memberId.split('#')[0] ?? '');
+      group.run(500);
+      t.is(group.acknowledged.size, 5, `seed ${seed}`);
+      group.settle({ isLeaderExpected: true });
+      t.deepEqual(group.violations, [], `seed ${seed}`);
+    }
+  });
+
   // A third of the election timeout between rounds leaves time for one lost round.
   test(title('an idle group keeps its leader, and elects another one when it crashes'), (t) => {
     for (let seed = 1; seed <= 30; seed += 1) {
