--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -18,6 +18,8 @@
 const TICK_MS = 20;
 const ELECTION_TIMEOUT_MS = 200;
 const HEARTBEAT_MS = 40;
+/** A third of the election timeout, as in production. */
+const IDLE_HEARTBEAT_MS = 65;
 const MAX_DELAY_MS = 60;
 const MAX_SYNC_MS = 40;
 const REPLACE_AFTER_MS = 1500;
@@ -134,12 +136,18 @@
       this.inFlight = this.inFlight.filter((message) => message.dueAtMs > this.nowMs);
       for (const message of due) message.deliver();
       for (const member of this.up()) {
-        member.core.tick(this.clockOf(member));
+        this.tickIfDue(member);
         this.drive(member);
       }
     }
   }
 
+  /** Ticks as the driver does: a tick that is announced too late delays elections and heartbeats. */
+  private tickIfDue(member: Member): void {
+    const nowMs = this.clockOf(member);
+    if (member.core.nextTickMs <= nowMs) member.core.tick(nowMs);
+  }
+
   /** Proposes a command to the member on an instance. */
   propose(name: string): void {
     const member = this.members.get(name);
@@ -219,6 +227,7 @@
   repair(): void {
     const leader = this.leader();
     if (leader === undefined) return;
+    leader.core.tick(this.clockOf(leader));
     const members = new Map(
       [...leader.core.memberProgress()].map(([memberId, progress]) => [
         memberId,
@@ -313,6 +322,7 @@
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       firstElectionTimeoutMs: ELECTION_TIMEOUT_MS / 8,
       heartbeatIntervalMs: HEARTBEAT_MS,
+      idleHeartbeatIntervalMs: IDLE_HEARTBEAT_MS,
       ...(disk.hardState === undefined ? {} : { hardState: disk.hardState }),
     });
   }
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '@shedline/logger';
 import { DiskItemFiles, NodeFileSystem, Storage, lockFolder } from '@shedline/storage';
 import type { RecoveredGroup, ReleaseLock } from '@shedline/storage';
-import type { PeerConnections } from '@shedline/transport';
+import type { Link, PeerConnections } from '@shedline/transport';
 import type { HelloAnswer } from './bootstrap.js';
 import { GroupHost } from './group-host.js';
 import { initialConfig, loadCluster, loadMemberId, saveCluster } from './identity.js';
@@ -20,13 +20,14 @@
 import type { MembershipTaskOptions } from './membership-tasks.js';
 import { MessageBatcher } from './message-batcher.js';
 import type { ConsensusBatch } from './message-batcher.js';
-import { PRESENCE_INTERVAL_MS, PeerPresence } from './peer-presence.js';
+import { PeerPresence } from './peer-presence.js';
 import type { PresenceMessage } from './peer-presence.js';
+import { PRESENCE_CHECK_INTERVAL_MS } from './presence-schedule.js';
 import { SnapshotExchange } from './snapshot-exchange.js';
 import type { GroupStateMachine } from './state-machine.js';
+import { TickSchedule } from './tick-schedule.js';
 
-/** Short, so that members with different election timeouts do not campaign in the same tick. */
-const TICK_MS = 20;
+const TRANSFER_CHECK_MS = 20;
 const LEADER_TASK_INTERVAL_MS = 250;
 const HOUSEKEEP_INTERVAL_MS = 10_000;
 const LEADER_BALANCE_INTERVAL_MS = 5000;
@@ -44,6 +45,8 @@
   /** Minimum time from the start to the first election; defaults to the election timeout. */
   readonly firstElectionTimeoutMs?: number;
   readonly heartbeatIntervalMs: number;
+  /** Interval of the heartbeats of a group whose log is idle; defaults to the other interval. */
+  readonly idleHeartbeatIntervalMs?: number;
   /** Time after which an unresponsive voter is replaced or removed. */
   readonly replaceAfterMs: number;
   /** Log bytes after which a group takes a snapshot. */
@@ -76,6 +79,11 @@
   readonly role: GroupNodeRole;
   /** Connections to the other processes of the cluster. */
   readonly peers: PeerConnections;
+  /**
+   * Whether peers reply to announcements. For connections on which only this process sends: without
+   * replies, each of them is pinged.
+   */
+  readonly wantsPresenceReplies?: boolean;
   readonly logger: Logger;
   readonly random: () => number;
   /** Returns monotonic time in milliseconds. */
@@ -103,6 +111,8 @@
   private ownMemberId = '';
   private clusterDocument: ClusterDocument | undefined;
   private timers: NodeJS.Timeout[] = [];
+  private readonly tickSchedule = new TickSchedule();
+  private tickTimer: NodeJS.Timeout | undefined;
   private stopped = false;
 
   constructor(options: GroupNodeOptions) {
@@ -201,6 +211,7 @@
     this.stopped = true;
     for (const timer of this.timers) clearInterval(timer);
     this.timers = [];
+    clearTimeout(this.tickTimer);
     for (const host of this.hosts.values()) host.close();
   }
 
@@ -245,11 +256,11 @@
   }
 
   /** Handles a one-way message of a peer; returns false if the method does not concern groups. */
-  onMessage(method: string, payload: unknown): boolean {
+  onMessage(method: string, payload: unknown, link?: Pick<Link, 'send'>): boolean {
     if (this.stopped) return true;
     switch (method) {
       case 'presence':
-        this.presence.receive(payload as PresenceMessage, this.clusterDocument?.clusterId);
+        this.presence.receive(payload as PresenceMessage, this.clusterDocument?.clusterId, link);
         return true;
       case 'consensus':
         this.onConsensus(payload as ConsensusBatch);
@@ -335,6 +346,9 @@
       entries: recovered?.entries ?? [],
       electionTimeoutMs: settings.electionTimeoutMs,
       heartbeatIntervalMs: settings.heartbeatIntervalMs,
+      ...(settings.idleHeartbeatIntervalMs === undefined
+        ? {}
+        : { idleHeartbeatIntervalMs: settings.idleHeartbeatIntervalMs }),
       ...(settings.firstElectionTimeoutMs === undefined
         ? {}
         : { firstElectionTimeoutMs: settings.firstElectionTimeoutMs }),
@@ -355,19 +369,20 @@
       offerSnapshot: (from, memberId) => {
         this.snapshots.offer(from, memberId, this.ownMemberId);
       },
+      onTickChange: (nextTickMs) => {
+        this.armTick(nextTickMs);
+      },
       onRoleChange: (changed, isLeader) => {
         this.onRoleChange(changed, isLeader);
       },
     });
     this.hosts.set(group, host);
+    this.armTick(consensus.nextTickMs);
     return host;
   }
 
   private startTimers(): void {
-    this.every(TICK_MS, () => {
-      this.tick();
-    });
-    this.every(PRESENCE_INTERVAL_MS, () => {
+    this.every(PRESENCE_CHECK_INTERVAL_MS, () => {
       this.announcePresence();
     });
     this.every(LEADER_TASK_INTERVAL_MS, () => {
@@ -387,9 +402,34 @@
     this.timers.push(setInterval(work, intervalMs));
   }
 
+  private armTick(nextTickMs: number): void {
+    if (this.stopped) return;
+    const delayMs = this.tickSchedule.arm(nextTickMs, this.options.nowMs());
+    if (delayMs === undefined) return;
+    clearTimeout(this.tickTimer);
+    this.tickTimer = setTimeout(() => {
+      if (this.tickSchedule.fired(this.options.nowMs()))
+        setImmediate(() => {
+          this.tick();
+        });
+      else this.tick();
+    }, delayMs);
+  }
+
+  /** Ticks the groups if one is due; otherwise the timer was early, or its group received messages. */
   private tick(): void {
+    if (this.stopped) return;
     const nowMs = this.options.nowMs();
-    for (const host of this.hosts.values()) host.tick(nowMs);
+    if (this.nextTickMs() <= nowMs) {
+      this.tickSchedule.ticked(nowMs);
+      for (const host of this.hosts.values()) host.tick(nowMs);
+    }
+    this.armTick(this.nextTickMs());
+  }
+
+  private nextTickMs(): number {
+    const hosts = [...this.hosts.values()];
+    return Math.min(...hosts.map(({ consensus }) => consensus.nextTickMs));
   }
 
   private announcePresence(): void {
@@ -398,12 +438,15 @@
       instance: this.options.name,
       memberId,
       clusterId: clusterDocument?.clusterId,
+      ...(this.options.wantsPresenceReplies === true ? { wantsReply: true } : {}),
     });
   }
 
   private runLeaderTasks(): void {
     const nowMs = this.options.nowMs();
     for (const host of this.ledGroups()) {
+      // The planner compares times since the last contact, which are as old as the last tick.
+      host.tick(nowMs);
       const membershipOptions = this.membershipOptionsOf(host);
       repairMembers(membershipOptions);
       // A leader never removes itself, so another member has to lead.
@@ -439,7 +482,7 @@
     for (const host of transferable) host.transferLeadership(nowMs());
     const deadlineMs = nowMs() + MAX_TRANSFER_WAIT_MS;
     while (transferable.some((host) => host.isLeader) && nowMs() < deadlineMs) {
-      await pause(TICK_MS);
+      await pause(TRANSFER_CHECK_MS);
     }
   }
 
