Report load counts as soon as the endpoint's free slots require

Each entry sent each change of its load at an endpoint within 25 ms to all entries that share it, although a count of an endpoint with most of its slots free changes no decision. LoadReportUrgency now decides how soon a change is due: within 25 ms if the endpoint is nearly full, looks so to the others, or the unreported changes exceed half of the slots left; otherwise before the slots left are used up at the current rate of starts, at most after a second. A load that returns to the last value reported is not sent. A nonzero load is repeated a second after its last report.

The overload test now runs the LoadReporter itself instead of an imitation, with peaks that rise within 100 ms and batch items beside, and compares with reports of every change within 25 ms.

--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -8,8 +8,8 @@
 import { runIdOf } from '@shedline/fleet';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
-import { LoadView, SlotRouting } from '@shedline/routing';
-import type { SlotCandidate } from '@shedline/routing';
+import { LoadView, SlotRouting, StartRate } from '@shedline/routing';
+import type { ReportableLoad, SlotCandidate } from '@shedline/routing';
 import type { Announcement, ChoiceOptions } from '@shedline/types';
 
 /** Heartbeat intervals after which the lease of an endpoint expires. */
@@ -97,6 +97,8 @@
   private readonly startedAtMs: number;
   private readonly directory: EndpointDirectory;
   private readonly loads = new LoadView();
+  /** Rate at which this entry starts requests and items at all endpoints. */
+  private readonly startRate = new StartRate();
   private readonly routing: SlotRouting;
   private readonly addresses = new Map<string, string>();
   /** Heartbeat of the latest incarnation of each endpoint, by endpoint id. */
@@ -312,6 +314,21 @@
     return this.loads.ownCounts();
   }
 
+  /**
+   * Returns what decides how soon this entry's load at an endpoint is reported; undefined if the
+   * endpoint is unknown. The other entries are assumed to start requests at the rate of this one.
+   */
+  reportableLoad(endpointId: string): ReportableLoad | undefined {
+    const own = this.loads.ownLoad(endpointId);
+    if (own === undefined) return undefined;
+    const nowMs = this.options.nowMs();
+    const known = this.loads.online(endpointId, nowMs, false) + this.loads.batch(endpointId, nowMs);
+    const slots = this.directory.get(endpointId)?.announcement.load.capacity ?? 0;
+    const subsetSize = Math.max(1, this.options.inSubset().size);
+    const perEndpoint = this.startRate.perS(nowMs) / subsetSize;
+    return { own, known, slots, startsPerS: perEndpoint * this.options.userCount(endpointId) };
+  }
+
   /** Applies the loads reported by another entry. */
   observePeerLoads(from: string, counts: readonly LoadCount[]): void {
     const nowMs = this.options.nowMs();
@@ -379,6 +396,7 @@
   }
 
   private changeLoad(endpointId: string, kind: 'online' | 'batch', by: 1 | -1): void {
+    if (by === 1) this.startRate.record(this.options.nowMs());
     this.loads.recordChange(endpointId, kind, by);
     this.options.onLoadChange(endpointId);
   }
--- a/packages/gateway/src/overload.test.ts
+++ b/packages/gateway/src/overload.test.ts
@@ -10,8 +10,11 @@
 import { EndpointQueue } from '@shedline/forwarding';
 import { describe, seededRandom, title } from '@shedline/test-utils';
 import type { RandomSource } from '@shedline/test-utils';
+import { RecentPeak } from '@shedline/batch';
+import type { LoadReportUrgency } from '@shedline/routing';
 import { EndpointPool } from './endpoint-pool.js';
 import type { LoadCount } from './endpoint-pool.js';
+import { LoadReporter } from './load-reporter.js';
 
 const SERVICE = 's';
 const SLOTS = 8;
@@ -23,8 +26,17 @@
 const DEADLINE_MS = 5000;
 /** Callers disconnect if their stream has not begun by then. */
 const CALLER_TIMEOUT_MS = 2000;
-/** Delay of load reports between entries. */
-const LOAD_REPORT_DELAY_MS = 30;
+/** Time that a message between entries takes. */
+const MESSAGE_MS = 5;
+/** Interval of the checks for slots that batch items may use, and duration of an item. */
+const SLOT_CHECK_MS = 40;
+const ITEM_MS = 4700;
+/** Time for which a slot is free before an item starts in it. */
+const SLOT_FREE_MS = 200;
+/** Time after which an item that has to yield has released its slot. */
+const YIELDED_MS = 15;
+/** Time within which a peak reaches its full load. */
+const PEAK_RISE_MS = 100;
 const HEARTBEAT_MS = 1000;
 /** Time after a restart until entries receive load reports from each other. */
 const CONNECTED_AFTER_MS = 800;
@@ -44,6 +56,10 @@
   readonly endpoints: number;
   /** Times at which all instances lose power, and at which the entries serve again. */
   readonly outageMs?: readonly [number, number];
+  /** Batch items submitted per second. */
+  readonly itemsPerS?: number;
+  /** Decision when load reports are due; the one of the entries if omitted. */
+  readonly urgency?: Pick<LoadReportUrgency, 'delayMs'>;
 }
 
 /** Outcomes of the requests that were sent in one second. */
@@ -65,6 +81,9 @@
 interface Engine {
   running: number;
   waiting: EngineRequest[];
+  /** Batch items, which count as running. */
+  readonly items: Set<object>;
+  readonly onlinePeak: RecentPeak;
   /** Incremented at each power loss. */
   incarnation: number;
 }
@@ -73,6 +92,7 @@
   readonly member: ZonedName;
   readonly pool: EndpointPool;
   readonly queue: EndpointQueue;
+  readonly reporter: LoadReporter;
 }
 
 function members(prefix: string, count: number): ZonedName[] {
@@ -85,6 +105,11 @@
 /** Entries and endpoints with a virtual clock. */
 class SimulatedFleet {
   readonly seconds: Second[] = [];
+  /** Messages with load counts. */
+  messageCount = 0;
+  /** Requests that waited at an endpoint although items had time to yield. */
+  waitedAtEndpoint = 0;
+  completedItems = 0;
   private readonly load: Load;
   private readonly fleet: Fleet;
   private readonly random: RandomSource;
@@ -93,7 +118,7 @@
   private readonly subsets: EndpointSubsets;
   private readonly engines = new Map<string, Engine>();
   private readonly due = new Map<number, (() => void)[]>();
-  private readonly changedLoads = new Map<string, Set<string>>();
+  private waitingItems = 0;
   private entries = new Map<string, Entry>();
   private heldRequests: { readonly entry: number; readonly sentAtMs: number }[] = [];
   private nowMs = 0;
@@ -109,8 +134,11 @@
       return { name: runOf(name), availabilityZone };
     });
     this.subsets = new EndpointSubsets({ entries: this.entryNames, endpoints: runs });
-    for (const { name } of runs)
-      this.engines.set(name, { running: 0, waiting: [], incarnation: 0 });
+    for (const { name } of runs) {
+      const onlinePeak = new RecentPeak({ windowMs: SLOT_FREE_MS });
+      const items = new Set<object>();
+      this.engines.set(name, { running: 0, waiting: [], items, onlinePeak, incarnation: 0 });
+    }
   }
 
   async run(): Promise<void> {
@@ -123,6 +151,7 @@
       for (const callback of this.due.get(this.nowMs) ?? []) callback();
       this.due.delete(this.nowMs);
       if (this.nowMs < LENGTH_MS) this.sendRequests();
+      if (this.fleet.itemsPerS !== undefined) this.runItems(this.fleet.itemsPerS);
       await runPromiseCallbacks();
     }
   }
@@ -141,8 +170,10 @@
   }
 
   private sendRequests(): void {
-    const isPeak = this.nowMs % PERIOD_MS >= PEAK_FROM_MS;
-    const perS = isPeak ? this.load.inPeaksPerS : this.load.betweenPerS;
+    const { inPeaksPerS, betweenPerS } = this.load;
+    const sinceRiseMs = (this.nowMs % PERIOD_MS) - PEAK_FROM_MS;
+    const risen = Math.max(0, Math.min(1, sinceRiseMs / PEAK_RISE_MS));
+    const perS = betweenPerS + risen * (inPeaksPerS - betweenPerS);
     for (let remaining = perS / 1000; remaining > 0; remaining -= 1) {
       if (this.random() >= remaining) continue;
       const entry = Math.floor(this.random() * this.entryNames.length);
@@ -176,7 +207,7 @@
     const forwardedAtMs = this.nowMs;
     let timeToFirstEventMs = 0;
     const engine = this.engineOf(endpointId);
-    engine.waiting.push({
+    const engineRequest = {
       onFirstEvent: () => {
         timeToFirstEventMs = this.nowMs - forwardedAtMs;
         const tookMs = this.nowMs - sentAtMs;
@@ -192,10 +223,63 @@
           isPastTarget,
         });
       },
+    };
+    engine.waiting.push(engineRequest);
+    this.admit(engine);
+    this.after(YIELDED_MS, () => {
+      if (engine.waiting.includes(engineRequest)) this.waitedAtEndpoint += 1;
     });
+  }
+
+  /** Starts and stops batch items like `ItemRunner`. */
+  private runItems(perS: number): void {
+    if (this.random() < perS / 1000) this.waitingItems += 1;
+    if (this.nowMs % SLOT_CHECK_MS !== 0) return;
+    for (const [endpointId, engine] of this.engines) {
+      const owner = this.ownerOf(endpointId);
+      const candidates = owner.pool.usableInSubset(SERVICE);
+      const online = candidates.find((known) => known.endpointId === endpointId)?.online ?? SLOTS;
+      const mayStart = SLOTS - engine.onlinePeak.note(online, this.nowMs);
+      for (let excess = engine.items.size + online - SLOTS; excess > 0; excess -= 1)
+        this.stopItem(endpointId);
+      if (this.waitingItems > 0 && engine.items.size < mayStart) this.startItem(endpointId);
+    }
+  }
+
+  private startItem(endpointId: string): void {
+    const engine = this.engineOf(endpointId);
+    const item = {};
+    engine.items.add(item);
+    engine.running += 1;
+    this.waitingItems -= 1;
+    this.ownerOf(endpointId).pool.batchChange(endpointId, 1);
+    this.after(ITEM_MS, () => {
+      if (engine.items.has(item)) this.completedItems += 1;
+      this.endItem(endpointId, item);
+    });
+  }
+
+  private stopItem(endpointId: string): void {
+    const last = [...this.engineOf(endpointId).items].at(-1);
+    if (last === undefined) return;
+    this.waitingItems += 1;
+    this.endItem(endpointId, last);
+  }
+
+  private endItem(endpointId: string, item: object): void {
+    const engine = this.engineOf(endpointId);
+    if (!engine.items.delete(item)) return;
+    engine.running -= 1;
+    this.ownerOf(endpointId).pool.batchChange(endpointId, -1);
     this.admit(engine);
   }
 
+  private ownerOf(endpointId: string): Entry {
+    const owner = this.entries.get(this.subsets.nearEntriesOf(endpointId)[0] ?? '');
+    if (owner === undefined) throw new Error(`no entry owns ${endpointId}`);
+    return owner;
+  }
+
   private admit(engine: Engine): void {
     while (engine.running < SLOTS) {
       const request = engine.waiting.shift();
@@ -226,7 +310,7 @@
 
   private restorePower(): void {
     this.connectedAtMs = this.nowMs + CONNECTED_AFTER_MS;
-    this.changedLoads.clear();
+    for (const { reporter } of this.entries.values()) reporter.stop();
     this.startEntries();
     for (const { entry, sentAtMs } of this.heldRequests) void this.request(entry, sentAtMs);
     this.heldRequests = [];
@@ -249,20 +333,34 @@
       userCount: (endpointId) => this.subsets.entriesOf(endpointId).length,
       entryCount: () => this.entryNames.length,
       onLoadChange: (endpointId) => {
-        this.scheduleLoadReport(member.name, endpointId);
+        reporter.markChanged(endpointId);
+      },
+      onSlotWanted: (endpointId) => {
+        this.after(MESSAGE_MS, () => {
+          this.stopItem(endpointId);
+        });
       },
-      onSlotWanted: () => undefined,
       onRunReplaced: () => undefined,
       onTimeout: () => undefined,
     });
     const after = (delayMs: number, callback: () => void): void => {
       this.after(delayMs, callback);
     };
-    return {
-      member,
-      pool,
-      queue: new EndpointQueue({ finder: pool, nowMs: () => this.nowMs, after }),
-    };
+    const nowMs = (): number => this.nowMs;
+    const reporter = new LoadReporter({
+      entries: {
+        send: (user, _method, counts) => {
+          if (user !== member.name) this.sendLoads(member.name, user, counts as LoadCount[]);
+        },
+      },
+      pool: () => pool,
+      usersOf: (endpointId) => this.subsets.entriesOf(endpointId),
+      nowMs,
+      after,
+      ...(this.fleet.urgency === undefined ? {} : { urgency: this.fleet.urgency }),
+    });
+    reporter.start();
+    return { member, pool, queue: new EndpointQueue({ finder: pool, nowMs, after }), reporter };
   }
 
   private deliverHeartbeats(): void {
@@ -280,42 +378,15 @@
         warmUpLeftMs: 0,
       },
     }));
-    for (const { member, pool } of this.entries.values()) {
-      pool.observeHeartbeats(heartbeats);
-      this.reportLoads(
-        member.name,
-        pool.ownLoads().filter(({ online }) => online > 0),
-      );
-    }
+    for (const { pool } of this.entries.values()) pool.observeHeartbeats(heartbeats);
   }
 
-  /** Collects changed loads into one report, like `LoadReporter`. */
-  private scheduleLoadReport(entry: string, endpointId: string): void {
-    const known = this.changedLoads.get(entry);
-    if (known !== undefined) {
-      known.add(endpointId);
-      return;
-    }
-    const changed = new Set([endpointId]);
-    this.changedLoads.set(entry, changed);
-    this.after(LOAD_REPORT_DELAY_MS, () => {
-      if (this.changedLoads.get(entry) !== changed) return;
-      this.changedLoads.delete(entry);
-      const loads = this.entries.get(entry)?.pool.ownLoads() ?? [];
-      this.reportLoads(
-        entry,
-        loads.filter((count) => changed.has(count.endpointId)),
-      );
-    });
-  }
-
-  private reportLoads(entry: string, counts: readonly LoadCount[]): void {
+  private sendLoads(from: string, to: string, counts: readonly LoadCount[]): void {
     if (this.nowMs < this.connectedAtMs) return;
-    for (const count of counts) {
-      for (const user of this.subsets.entriesOf(count.endpointId)) {
-        if (user !== entry) this.entries.get(user)?.pool.observePeerLoads(entry, [count]);
-      }
-    }
+    this.messageCount += 1;
+    this.after(MESSAGE_MS, () => {
+      this.entries.get(to)?.pool.observePeerLoads(from, counts);
+    });
   }
 
   private after(delayMs: number, callback: () => void): void {
@@ -442,3 +513,44 @@
     }
   });
 });
+
+interface ReportFigures {
+  messages: number;
+  waited: number;
+  items: number;
+}
+
+/** Returns the sums of the figures over several seeds. */
+async function simulateReports(fleet: Fleet, load: Load): Promise<ReportFigures> {
+  const sums = { messages: 0, waited: 0, items: 0 };
+  for (const seed of [...SEEDS, 10, 11, 12]) {
+    const { messageCount, waitedAtEndpoint, completedItems } = await simulate(fleet, load, seed);
+    sums.messages += messageCount;
+    sums.waited += waitedAtEndpoint;
+    sums.items += completedItems;
+  }
+  return sums;
+}
+
+// Reports that are too late would let entries fill endpoints beyond their slots, or leave slots
+// unused because endpoints still look full.
+describe('load reports by urgency, compared to reports of every change within 25 ms', () => {
+  const betweenPerS = 0.13 * capacityPerS(LARGE);
+  const inPeaksPerS = 5 * betweenPerS;
+  const loads: readonly (readonly [string, Fleet, Load, number])[] = [
+    ['no peaks', LARGE, { inPeaksPerS: betweenPerS, betweenPerS }, 0.25],
+    ['five-fold peaks', LARGE, { inPeaksPerS, betweenPerS }, 1],
+    ['five-fold peaks and items', { ...LARGE, itemsPerS: 8 }, { inPeaksPerS, betweenPerS }, 1],
+  ];
+  for (const [name, fleet, load, messageShare] of loads) {
+    test(title(`${name}: no more requests wait at endpoints, fewer messages`), async (t) => {
+      const urgency = { delayMs: () => 25 };
+      const before = await simulateReports({ ...fleet, urgency }, load);
+      const after = await simulateReports(fleet, load);
+      t.log('before', before, 'after', after);
+      t.true(after.messages <= messageShare * before.messages);
+      t.true(after.waited <= 5 + 1.1 * before.waited);
+      t.true(after.items >= 0.97 * before.items);
+    });
+  }
+});
--- a/packages/routing/src/load-view.ts
+++ b/packages/routing/src/load-view.ts
@@ -72,6 +72,12 @@
     return this.states.get(endpointId)?.ownOnline ?? 0;
   }
 
+  /** Returns the requests that this entry has in progress; undefined for an unknown endpoint. */
+  ownLoad(endpointId: string): { online: number; batch: number } | undefined {
+    const state = this.states.get(endpointId);
+    return state === undefined ? undefined : { online: state.ownOnline, batch: state.ownBatch };
+  }
+
   /** Returns the number of batch requests at an endpoint. */
   batch(endpointId: string, nowMs: number): number {
     const state = this.states.get(endpointId);
