Sum the counts of other entries without a list

LoadView copied the counts of the other entries into a list each time a load was read, which the choice of an endpoint, the check of the slots for items and the load reports do for each endpoint of the subset. Time of an online and a batch sum over 5 entries, median of five runs of 500,000, alternating: 381 ns before, 295 ns after.

--- a/packages/routing/src/load-view.ts
+++ b/packages/routing/src/load-view.ts
@@ -62,8 +62,7 @@
   online(endpointId: string, nowMs: number, includesUnattributed = true): number {
     const state = this.states.get(endpointId);
     if (state === undefined) return 0;
-    let total = state.ownOnline;
-    for (const count of this.currentPeerCounts(state, nowMs)) total += count.online;
+    const total = state.ownOnline + peerSum(state, 'online', nowMs);
     return includesUnattributed ? total + this.decayedUnattributed(state, nowMs) : total;
   }
 
@@ -82,9 +81,7 @@
   batch(endpointId: string, nowMs: number): number {
     const state = this.states.get(endpointId);
     if (state === undefined) return 0;
-    let total = state.ownBatch;
-    for (const count of this.currentPeerCounts(state, nowMs)) total += count.batch;
-    return total;
+    return state.ownBatch + peerSum(state, 'batch', nowMs);
   }
 
   /** Returns the number of requests that the endpoint can run at once. */
@@ -127,18 +124,18 @@
     return created;
   }
 
-  private currentPeerCounts(
-    state: EndpointLoadState,
-    nowMs: number,
-  ): { online: number; batch: number }[] {
-    for (const [peer, count] of state.peers) {
-      if (nowMs - count.atMs > PEER_COUNTS_EXPIRY_MS) state.peers.delete(peer);
-    }
-    return [...state.peers.values()];
-  }
-
   private decayedUnattributed(state: EndpointLoadState, nowMs: number): number {
     const ageMs = Math.max(0, nowMs - state.reportedAtMs);
     return state.unattributed * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
   }
 }
+
+/** Returns the sum of the counts of all peers, after removing those that have expired. */
+function peerSum({ peers }: EndpointLoadState, kind: 'online' | 'batch', nowMs: number): number {
+  let sum = 0;
+  for (const [peer, counts] of peers) {
+    if (nowMs - counts.atMs > PEER_COUNTS_EXPIRY_MS) peers.delete(peer);
+    else sum += counts[kind];
+  }
+  return sum;
+}
