--- a/packages/gateway/src/load-reporter.ts
+++ b/packages/gateway/src/load-reporter.ts
@@ -3,7 +3,7 @@
  * {@link LoadReportUrgency} decides when a changed load is due.
  */
 import { LoadReportUrgency } from '@shedline/routing';
-import type { EntryLoad } from '@shedline/routing';
+import type { EntryLoad, ReportableLoad } from '@shedline/routing';
 import type { EndpointPool, LoadCount } from './endpoint-pool.js';
 import type { EntryConnections } from './entry-connections.js';
 
@@ -85,10 +85,10 @@
   markChanged(endpointId: string): void {
     const nowMs = this.nowMs();
     const state = this.stateOf(endpointId);
-    const own = this.options.pool().reportableLoad(endpointId)?.own ?? NO_LOAD;
-    if (isEqual(own, state.reported)) state.changedAtMs = undefined;
+    const load = this.options.pool().reportableLoad(endpointId);
+    if (isEqual(load?.own ?? NO_LOAD, state.reported)) state.changedAtMs = undefined;
     else state.changedAtMs ??= nowMs;
-    const report = this.pendingOf(endpointId, state);
+    const report = this.pendingOf(endpointId, state, load);
     if (report !== undefined)
       this.scheduleCheck(Math.min(report.dueAtMs, nowMs + CHECK_INTERVAL_MS));
   }
@@ -114,7 +114,11 @@
     this.nextCheckAtMs = Infinity;
     const pending: PendingReport[] = [];
     for (const [endpointId, state] of this.states) {
-      const report = this.pendingOf(endpointId, state);
+      const report = this.pendingOf(
+        endpointId,
+        state,
+        this.options.pool().reportableLoad(endpointId),
+      );
       if (report === undefined) this.states.delete(endpointId);
       else pending.push(report);
     }
@@ -133,8 +137,11 @@
   }
 
   /** Returns the next report of an endpoint; undefined if there is nothing to report or repeat. */
-  private pendingOf(endpointId: string, state: ReportState): PendingReport | undefined {
-    const load = this.options.pool().reportableLoad(endpointId);
+  private pendingOf(
+    endpointId: string,
+    state: ReportState,
+    load: ReportableLoad | undefined,
+  ): PendingReport | undefined {
     const { reported, reportedAtMs, changedAtMs } = state;
     const mustRepeat = !isEqual(reported, NO_LOAD);
     if (load === undefined || (changedAtMs === undefined && !mustRepeat)) return undefined;
