Check slots when items may start, not every 40 ms

The item runner looked at all endpoints of all job routes every 40 ms, also at entries that own no endpoint and while no items waited. With two job routes of different services each check also made the other route's endpoints unknown, so that the owner of every endpoint was hashed again 25 times a second, and a new owner did not wait for the previous one.

Checks follow the next possible request for items, at 40 to 100 ms where the entry owns an endpoint and at 200 ms elsewhere. A load report that leaves too few slots for the running items is checked at once, or 40 ms after the last check; the end of a run and a request for a slot act at once as before. The endpoints of all routes are observed together.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -480,11 +480,16 @@
   private onMessage(method: string, payload: unknown, from: string): void {
     if (method === 'fleetNews') this.follower.handleDelta(payload as FleetDelta, from);
     if (method === 'heartbeats') this.follower.handleHeartbeats(payload as AgedHeartbeat[]);
-    if (method === 'loads') this.pool.observePeerLoads(from, payload as LoadCount[]);
+    if (method === 'loads') this.onLoads(payload as LoadCount[], from);
     if (method === 'slotWanted') this.itemRunner.yieldSlot(payload as string);
     if (method === 'quotaNear') this.quotas.markNearLimit(payload as string[]);
   }
 
+  private onLoads(counts: readonly LoadCount[], from: string): void {
+    this.pool.observePeerLoads(from, counts);
+    this.itemRunner.noteLoads(counts);
+  }
+
   /** Entries that accept callers; always includes this one. */
   private servingEntries(): ZonedName[] {
     const { mesh } = this.core;
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -21,6 +21,8 @@
 const PREFIX = '/jobs/';
 const HOLDER = 'entry/1';
 const MAX_ATTEMPTS = 3;
+/** Slots of the endpoint. */
+const SLOTS = 4;
 
 const ROUTE = {
   name: 'jobs',
@@ -136,26 +138,12 @@
   readHead: (status) => ({ ...HEAD, status }),
 };
 
-function createRunner(stores: FakeStores, sender: RequestSender, hasCrashed = false): ItemRunner {
-  const nowMs = (): number => performance.now();
-  const fleet = new KnownFleet();
-  fleet.applyDelta({
-    position: { version: 1, leaveCount: 0 },
-    leaving: [],
-    retiringStores: [],
-    configuration: {
-      version: 1,
-      routes: [ROUTE],
-      services: [{ name: 'svc', healthPath: '/', maxConnections: 10 }],
-      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    },
-    stores: { clusterId: 'c', initialMembers: [], jobGroupCount: 1, voterCount: 1 },
-  });
+function createPool(): EndpointPool {
   const pool = new EndpointPool({
     availabilityZone: 'z',
     heartbeatMs: 60_000,
     random: Math.random,
-    nowMs,
+    nowMs: () => performance.now(),
     isLeaving: () => false,
     inSubset: () => new Set(['e1']),
     userCount: () => 1,
@@ -171,11 +159,38 @@
     service: 'svc',
     address: '127.0.0.1:1',
     availabilityZone: 'z',
-    slots: 4,
+    slots: SLOTS,
     warmUpLeftMs: 0,
     sequence: 1,
   };
   pool.observeHeartbeats([{ heartbeat, ageMs: 0 }]);
+  return pool;
+}
+
+interface RunnerOptions {
+  readonly hasCrashed?: boolean;
+  readonly nowMs?: () => number;
+  readonly pool?: EndpointPool;
+}
+
+function createRunner(
+  stores: FakeStores,
+  sender: RequestSender,
+  { hasCrashed = false, nowMs = () => performance.now(), pool = createPool() }: RunnerOptions = {},
+): ItemRunner {
+  const fleet = new KnownFleet();
+  fleet.applyDelta({
+    position: { version: 1, leaveCount: 0 },
+    leaving: [],
+    retiringStores: [],
+    configuration: {
+      version: 1,
+      routes: [ROUTE],
+      services: [{ name: 'svc', healthPath: '/', maxConnections: 10 }],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    },
+    stores: { clusterId: 'c', initialMembers: [], jobGroupCount: 1, voterCount: 1 },
+  });
   return new ItemRunner({
     holder: HOLDER,
     self: 'entry',
@@ -244,7 +259,7 @@
     const stores = new FakeStores(() => performance.now() * 20);
     const outcome = { kind: 'lost', reason: 'reset' } as const;
     const sender = new FakeSender(() => ({ kind: 'ended', outcome }));
-    const runner = createRunner(stores, sender, true);
+    const runner = createRunner(stores, sender, { hasCrashed: true });
     stores.submit(['a']);
     runner.start();
     await untilJobEnds(stores);
@@ -270,4 +285,36 @@
     await runner.drain();
     t.is(sender.attempts, 2);
   });
+
+  // Guards against an online request that waits behind items until the next scheduled check.
+  test(title('stops items at once where another entry reports online requests'), async (t) => {
+    let skippedMs = 0;
+    const nowMs = (): number => performance.now() + skippedMs;
+    const stores = new FakeStores(nowMs);
+    const pool = createPool();
+    let running = 0;
+    const sender: RequestSender = {
+      send: () => {
+        running += 1;
+        let settle: (result: SendResult) => void = () => undefined;
+        const result = new Promise<SendResult>((resolve) => (settle = resolve));
+        const stop = (): void => {
+          running -= 1;
+          settle({ kind: 'stopped' });
+        };
+        return { result, stop, resume: () => undefined };
+      },
+    };
+    const runner = createRunner(stores, sender, { nowMs, pool });
+    stores.submit(['a', 'b', 'c', 'd']);
+    runner.start();
+    while (running < SLOTS) await pause(10);
+    skippedMs = 100;
+    const [endpointId = ''] = pool.ownLoads().map((load) => load.endpointId);
+    const loads = [{ endpointId, online: 3, batch: 0 }];
+    pool.observePeerLoads('other', loads);
+    runner.noteLoads(loads);
+    t.is(running, 1);
+    await runner.drain();
+  });
 });
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -3,54 +3,25 @@
  * one entry, which alone runs batch work there. It stops items as soon as online requests need
  * their slots, and returns them with their progress so that any entry can resume them.
  */
-import { BatchOwnership, RecentPeak, chooseStreamsToStop, spareSlots } from '@shedline/batch';
+import { chooseStreamsToStop } from '@shedline/batch';
 import type { GroupCaller } from '@shedline/control-client';
 import type { KnownFleet, Route } from '@shedline/fleet';
-import type { GrantAnswer, GrantedItem } from '@shedline/fleet-control';
+import type { GrantedItem } from '@shedline/fleet-control';
 import { isBroken } from '@shedline/forwarding';
 import type { EndpointProtocol, RequestSender, SendResult } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { SlotCandidate } from '@shedline/routing';
 import type { ItemRef, ReturnedItem } from '@shedline/whole-jobs';
 import type { CrashDetector } from './crash-detector.js';
-import type { EndpointPool } from './endpoint-pool.js';
+import type { EndpointPool, LoadCount } from './endpoint-pool.js';
+import { ItemRequester } from './item-requester.js';
 import { ItemRun } from './item-run.js';
-import { jobGroupOf, routeKeyOf } from './job-service.js';
 import { RunReporter } from './run-reporter.js';
+import { SlotCheckTimer } from './slot-check-timer.js';
+import { SlotPlanner } from './slot-planner.js';
 
-/** Time between two checks of the free slots. */
-const SLOT_CHECK_INTERVAL_MS = 40;
-/**
- * Time between requests for items in a small fleet: while items are waiting, and while none are.
- */
-const GRANT_INTERVAL_MS = 60;
-const IDLE_GRANT_INTERVAL_MS = 200;
-/**
- * Number of entries with batch work up to which each sends requests at the full rate; with more,
- * the total rate stays constant. Only entries that can own an endpoint are counted: when all
- * 165 entries of a fleet with 52 endpoints were, a free slot waited 0.6 s for its next item.
- */
-const ENTRIES_AT_FULL_GRANT_RATE = 16;
-const GRANT_TIMEOUT_MS = 1000;
 const RENEW_INTERVAL_MS = 1000;
 const RENEW_TIMEOUT_MS = 1500;
-/**
- * Wait before this entry takes over an endpoint from its previous owner. Two owners at a time would
- * only overfill the endpoint's queue, since an item is leased to one entry.
- */
-const TAKEOVER_WAIT_MS = 400;
-/**
- * Slots kept free for online requests: none, since a batch item yields its slot within a few ms.
- */
-const RESERVED_SLOTS = 0;
-/** Minimum time for which a slot has been free before an item starts in it. */
-const SLOT_FREE_BEFORE_START_MS = 200;
-/** Assumed duration of a complete item before one was observed. */
-const INITIAL_RUN_MS = 5000;
-/** Assumed number of events of a complete item before one was observed. */
-const INITIAL_RUN_EVENTS = 200;
-/** Weight of the newest run in the moving averages of duration and number of events. */
-const RUN_SMOOTHING = 0.2;
 /** Status of an item that cannot succeed at any endpoint. */
 const UNPROCESSABLE_STATUS = 422;
 
@@ -73,38 +44,45 @@
   readonly entryCount: () => number;
 }
 
-/** State of the item requests of one route. */
-interface RouteState {
-  lastRequestEndedAtMs: number;
-  isRequesting: boolean;
-  waitingItems: number;
-  /** Moving average of the duration of a complete item. */
-  runMs: number;
-  /** Moving average of the number of events of an item. */
-  runEvents: number;
-}
-
 /** Requests items from the stores and runs them. */
 export class ItemRunner {
   private readonly options: ItemRunnerOptions;
-  private readonly ownership: BatchOwnership;
+  private readonly planner: SlotPlanner;
+  private readonly checkTimer: SlotCheckTimer;
+  private readonly requester: ItemRequester;
   private readonly reporter: RunReporter;
   private readonly runs = new Map<string, ItemRun>();
-  private readonly routes = new Map<string, RouteState>();
-  private readonly peaks = new Map<string, RecentPeak>();
+  /** Usable endpoints of each service, as last observed. */
+  private readonly usableByService = new Map<string, readonly SlotCandidate[]>();
+  private readonly runningAt = (endpointId: string): number => this.runningCountAt(endpointId);
   /**
    * Pending checks for a crash of the endpoint that ran an item; each ends by returning the item.
    */
   private readonly crashChecks = new Set<Promise<void>>();
-  private timers: NodeJS.Timeout[] = [];
+  private renewTimer: NodeJS.Timeout | undefined;
   private isDraining = false;
   /** Number of runs started by this process, which distinguishes several runs of an item. */
   private startedRunCount = 0;
 
   constructor(options: ItemRunnerOptions) {
     this.options = options;
-    this.ownership = new BatchOwnership({ self: options.self, takeoverWaitMs: TAKEOVER_WAIT_MS });
+    this.planner = new SlotPlanner(options.self);
     this.reporter = new RunReporter(options);
+    this.checkTimer = new SlotCheckTimer({
+      nowMs: options.nowMs,
+      check: () => {
+        this.checkSlots();
+      },
+    });
+    this.requester = new ItemRequester({
+      ...options,
+      onGranted: (group, items, route) => {
+        this.startGranted(group, items, route);
+      },
+      onEnded: (dueInMs) => {
+        this.checkTimer.checkWithin(dueInMs);
+      },
+    });
   }
 
   /** Number of items that are running at this entry. */
@@ -114,20 +92,16 @@
 
   /** Starts the checks of free slots and the renewal of item leases. */
   start(): void {
-    this.timers = [
-      setInterval(() => {
-        this.checkSlots();
-      }, SLOT_CHECK_INTERVAL_MS),
-      setInterval(() => {
-        this.renew();
-      }, RENEW_INTERVAL_MS),
-    ];
+    this.checkSlots();
+    this.renewTimer = setInterval(() => {
+      this.renew();
+    }, RENEW_INTERVAL_MS);
   }
 
   /** Stops all items and returns them; resolves when results and returned items are reported. */
   async drain(): Promise<void> {
     this.isDraining = true;
-    for (const timer of this.timers) clearInterval(timer);
+    this.stopTimers();
     const runs = [...this.runs.values()];
     this.runs.clear();
     for (const run of runs) run.stop();
@@ -138,7 +112,7 @@
 
   /** Stops at once; what has not been returned or reported yet is abandoned. */
   close(): void {
-    for (const timer of this.timers) clearInterval(timer);
+    this.stopTimers();
     this.reporter.close();
   }
 
@@ -147,6 +121,16 @@
     this.stopExcess(endpointId, this.runsAt(endpointId).length - 1);
   }
 
+  /** Stops items where the loads reported by another entry leave too few slots. */
+  noteLoads(counts: readonly LoadCount[]): void {
+    if (this.runs.size === 0) return;
+    const isUrgent = counts.some(
+      ({ endpointId, online }) =>
+        online > 0 && this.planner.mayNeedSlot(endpointId, online, this.runningAt(endpointId)),
+    );
+    if (isUrgent) this.checkTimer.checkWithin(0);
+  }
+
   /** Stops the items of a job that has ended. */
   stopJob(jobId: string): void {
     for (const run of this.runs.values()) {
@@ -156,53 +140,61 @@
 
   /** Returns the entry that runs batch work at an endpoint. */
   ownerOf(endpointId: string): string | undefined {
-    return this.ownership.ownerOf(endpointId);
+    return this.planner.ownerOf(endpointId);
   }
 
   private checkSlots(): void {
-    const routes = this.options.fleet.routes?.configuration.routes ?? [];
-    for (const route of routes) {
-      if (route.kind === 'jobs') this.fillSlots(route);
+    this.observeSlots();
+    for (const [endpointId, allowed] of this.planner.excess(this.runningAt))
+      this.stopExcess(endpointId, allowed);
+    let grantDueInMs = Infinity;
+    for (const route of this.jobRoutes()) {
+      const wanted = [...this.freeSlots(route).values()].reduce((sum, count) => sum + count, 0);
+      if (wanted === 0) continue;
+      if (!this.isDraining) this.requester.request(route, wanted);
+      grantDueInMs = Math.min(grantDueInMs, this.requester.dueInMs(route));
     }
+    const ownsAny = this.planner.ownedEndpoints.length > 0;
+    this.checkTimer.checked({ ownsAny, grantDueInMs });
   }
 
-  private fillSlots(route: Route): void {
-    const free = this.freeSlots(route);
-    const wanted = [...free.values()].reduce((sum, count) => sum + count, 0);
-    if (wanted > 0) void this.requestItems(route, wanted);
+  private stopTimers(): void {
+    clearInterval(this.renewTimer);
+    this.checkTimer.stop();
   }
 
-  /** Returns the free slots of owned endpoints, and stops items where too many are running. */
-  private freeSlots(route: Route): Map<string, number> {
-    const nowMs = this.options.nowMs();
-    const usable = this.usableFor(route);
-    const endpointIds = usable.map(({ endpointId }) => endpointId);
-    this.ownership.update(endpointIds, this.options.usersOf, nowMs);
-    const owned = new Set(this.ownership.owned(nowMs));
-    const free = new Map<string, number>();
-    for (const { endpointId, online, slots } of usable) {
-      if (!owned.has(endpointId)) continue;
-      const running = this.runsAt(endpointId).length;
-      const mayRun = spareSlots({ slots, online, reserve: RESERVED_SLOTS });
-      const peak = this.peakOf(endpointId).note(online, nowMs);
-      const mayStart = spareSlots({ slots, online: peak, reserve: RESERVED_SLOTS });
-      if (running > mayRun) this.stopExcess(endpointId, mayRun);
-      else if (running < mayStart) free.set(endpointId, mayStart - running);
+  private jobRoutes(): Route[] {
+    const routes = this.options.fleet.routes?.configuration.routes ?? [];
+    return routes.filter(({ kind }) => kind === 'jobs');
+  }
+
+  /** Passes the current load of the endpoints of all routes to the planner. */
+  private observeSlots(): void {
+    const { pool, usersOf, nowMs } = this.options;
+    const services = new Set(this.jobRoutes().flatMap(servicesOf));
+    this.usableByService.clear();
+    const usable = new Map<string, SlotCandidate>();
+    for (const service of services) {
+      const candidates = pool.usableInSubset(service);
+      this.usableByService.set(service, candidates);
+      for (const candidate of candidates) usable.set(candidate.endpointId, candidate);
     }
-    return free;
+    this.planner.observe(usable, usersOf, nowMs());
   }
 
-  private peakOf(endpointId: string): RecentPeak {
-    const known = this.peaks.get(endpointId);
-    if (known !== undefined) return known;
-    const created = new RecentPeak({ windowMs: SLOT_FREE_BEFORE_START_MS });
-    this.peaks.set(endpointId, created);
-    return created;
+  /** Returns the free slots of the owned endpoints of a route, as last observed. */
+  private freeSlots(route: Route): Map<string, number> {
+    const usable = servicesOf(route).flatMap((service) => this.usableByService.get(service) ?? []);
+    return this.planner.free(
+      usable.map(({ endpointId }) => endpointId),
+      this.runningAt,
+    );
   }
 
-  private usableFor(route: Route): SlotCandidate[] {
-    const services = route.targets.filter(({ weight }) => weight > 0);
-    return services.flatMap(({ service }) => this.options.pool.usableInSubset(service));
+  private runningCountAt(endpointId: string): number {
+    let count = 0;
+    for (const run of this.runs.values()) if (run.endpointId === endpointId) count += 1;
+    return count;
   }
 
   private runsAt(endpointId: string): ItemRun[] {
@@ -221,52 +213,10 @@
     }
   }
 
-  private stateOf(route: Route): RouteState {
-    const key = routeKeyOf(route);
-    const known = this.routes.get(key);
-    if (known !== undefined) return known;
-    const initial = {
-      lastRequestEndedAtMs: -Infinity,
-      isRequesting: false,
-      waitingItems: 0,
-      runMs: INITIAL_RUN_MS,
-      runEvents: INITIAL_RUN_EVENTS,
-    };
-    this.routes.set(key, initial);
-    return initial;
-  }
-
-  private async requestItems(route: Route, maxItems: number): Promise<void> {
-    const { stores, fleet, holder, logger, nowMs } = this.options;
-    const state = this.stateOf(route);
-    const isEarly = nowMs() - state.lastRequestEndedAtMs < this.grantIntervalMs(state);
-    if (isEarly || state.isRequesting || this.isDraining || fleet.storeCluster === undefined)
-      return;
-    const group = jobGroupOf(route.host, fleet.storeCluster.jobGroupCount);
-    const { runMs, runEvents } = state;
-    const body = { holder, routeKey: routeKeyOf(route), maxItems, runMs, runEvents };
-    state.isRequesting = true;
-    try {
-      const raw = await stores.call('grantItems', group, { group, body }, GRANT_TIMEOUT_MS);
-      const grant = raw as GrantAnswer;
-      state.waitingItems = grant.waitingItems;
-      this.startGranted(group, grant.items, route);
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      logger.debug('no items granted', { step: 'grant', group, reason });
-    } finally {
-      state.isRequesting = false;
-      state.lastRequestEndedAtMs = nowMs();
-    }
-  }
-
-  private grantIntervalMs({ waitingItems }: RouteState): number {
-    const intervalMs = waitingItems > 0 ? GRANT_INTERVAL_MS : IDLE_GRANT_INTERVAL_MS;
-    return intervalMs * Math.max(1, this.options.entryCount() / ENTRIES_AT_FULL_GRANT_RATE);
-  }
-
   /** Starts the granted items in the slots that are still free; returns the rest to the stores. */
   private startGranted(group: number, items: readonly GrantedItem[], route: Route): void {
+    if (items.length === 0) return;
+    this.observeSlots();
     const free = this.isDraining ? new Map<string, number>() : this.freeSlots(route);
     const remaining = [...items];
     for (const [endpointId, count] of free) {
@@ -320,11 +270,8 @@
   }
 
   private updateRunEstimates(run: ItemRun, route: Route): void {
-    const state = this.stateOf(route);
-    state.runEvents += RUN_SMOOTHING * (run.eventCount - state.runEvents);
-    if (!run.isFromStart) return;
     const tookMs = this.options.nowMs() - run.startedAtMs;
-    state.runMs += RUN_SMOOTHING * (tookMs - state.runMs);
+    this.requester.noteRun(route, run.eventCount, run.isFromStart ? tookMs : undefined);
   }
 
   private runIdOf(run: ItemRun): string {
@@ -378,8 +325,8 @@
     this.options.logger.info('batch work', {
       step: 'run item',
       running: this.runs.size,
-      ownedEndpoints: this.ownership.owned(this.options.nowMs()),
-      waitingItems: [...this.routes.values()].reduce((sum, state) => sum + state.waitingItems, 0),
+      ownedEndpoints: this.planner.ownedEndpoints,
+      waitingItems: this.requester.waitingItems,
     });
   }
 
@@ -401,6 +348,10 @@
   }
 }
 
+function servicesOf(route: Route): string[] {
+  return route.targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
+}
+
 function keyOf(ref: ItemRef): string {
   return `${ref.jobId}|${ref.index}`;
 }
