One timer for all unanswered polls of an entry

Each poll without a reply started a timer of its own, and a poll that failed at once left its timer running. While all polls failed at once, every poll added another sequence of repetitions every 300 ms. There is now one timer per entry: at most one repetition per 300 ms besides the regular polls.

Found by review, not by a test.

--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -57,6 +57,8 @@
   private readonly freshness: StateFreshness;
   private readonly endpoints: EndpointFeed;
   private readonly pendingControls = new Set<string>();
+  /** One timer for all polls, so that polls that fail at once do not add up. */
+  private unansweredTimer: NodeJS.Timeout | undefined;
   private stopPolling: (() => void) | undefined;
   private readonly plan = new PollPlan();
   private isStopped = false;
@@ -116,6 +118,7 @@
   stop(): void {
     this.isStopped = true;
     this.stopPolling?.();
+    this.clearUnansweredTimer();
   }
 
   /** Applies a pushed change, or keeps it until the initial read is done. */
@@ -238,13 +241,14 @@
   private async refreshFrom(control: PeerClient): Promise<void> {
     const { peerName } = control;
     this.pendingControls.add(peerName);
-    const unansweredTimer = setTimeout(() => {
-      if (!this.isStopped) this.refresh();
+    this.unansweredTimer ??= setTimeout(() => {
+      this.unansweredTimer = undefined;
+      this.refresh();
     }, UNANSWERED_POLL_MS);
     try {
       let hasMore = true;
       while (hasMore && !this.isStopped) hasMore = await this.readPage(control);
-      clearTimeout(unansweredTimer);
+      this.clearUnansweredTimer();
     } catch (error) {
       this.logFailedRefresh(peerName, error);
     } finally {
@@ -252,6 +256,11 @@
     }
   }
 
+  private clearUnansweredTimer(): void {
+    clearTimeout(this.unansweredTimer);
+    this.unansweredTimer = undefined;
+  }
+
   /** Reads the next page of changes; returns whether more follow. */
   private async readPage(control: PeerClient): Promise<boolean> {
     const { peerName } = control;
