--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -38,7 +38,7 @@
  */
 const MIN_USABLE_SHARE = 0.5;
 /**
- * Maximum time without data from any control process (polled every 300 ms) that counts against
+ * Maximum time without data from any control process (polled every 500 ms) that counts against
  * endpoint leases. Without this limit all leases expired together while connections were
  * unresponsive, and every entry of a fleet of 4 entries and 5 endpoints refused all requests for
  * 1.7 s.
@@ -195,7 +195,7 @@
   }
 
   /**
-   * Returns the usable endpoints of a service in this entry's subset. Called 25 times a second, so
+   * Returns the usable endpoints of a service in this entry's subset. Called 10 to 25 times a second, so
    * only the subset is examined, which has 8 of 90 endpoints in a large fleet.
    */
   usableInSubset(service: string): SlotCandidate[] {
