Read the events of batch items every 100 ms

An item has an event every 28 ms, for which its entry wakes up, though nothing waits for it before the item ends.

Batch responses have connections of their own, whose sockets are not polled for 100 ms after a small read; the kernel collects what arrives. A stop reads what has arrived before it closes the connection, and a run that is being stopped no longer counts as running. A reset, an orderly end and the limit of 1.5 s without data are noticed as before, within the same 100 ms.

--- a/packages/forwarding/src/endpoint-connections.ts
+++ b/packages/forwarding/src/endpoint-connections.ts
@@ -6,7 +6,7 @@
  */
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import { connectorWithin } from '@shedline/http-connector';
+import { BatchedReads, connectorWithin } from '@shedline/http-connector';
 
 /**
  * Maximum time to open a connection. An endpoint without power never accepts one; with this limit
@@ -22,7 +22,12 @@
  * connection takes one round trip of 0.2 to 2 ms; requests take 20 ms or more.
  */
 const KEEP_ALIVE_MS = 300;
-/** Maximum number of connections in each of the two pools of an endpoint. */
+/**
+ * Minimum time between two reads of a batch response. An item has an event every 28 ms, and nothing
+ * waits for it before the item ends; the end is noticed at most this much later.
+ */
+const BATCH_READ_INTERVAL_MS = 100;
+/** Maximum number of connections in each pool of an endpoint. */
 const MAX_CONNECTIONS = 64;
 
 interface EndpointPools {
@@ -30,8 +35,17 @@
   readonly reusable: Pool;
   /** Connections that close after one request. */
   readonly singleUse: Pool;
+  /** Reusable connections for batch work. */
+  readonly batch: Pool;
+  readonly batchedReads: BatchedReads;
 }
 
+/**
+ * Which connection a request needs: `reusable` if it may be sent again, `singleUse` if not, `batch`
+ * if nothing waits for the parts of its response either.
+ */
+export type ConnectionUse = 'reusable' | 'singleUse' | 'batch';
+
 /** The connections of one process to all endpoints. */
 export class EndpointConnections {
   private readonly pools = new Map<string, EndpointPools>();
@@ -41,11 +55,15 @@
     address: string,
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
-    mayBeRepeated: boolean,
+    use: ConnectionUse,
   ): void {
-    const { reusable, singleUse } = this.poolsFor(address);
-    if (mayBeRepeated) reusable.dispatch(options, handler);
-    else singleUse.dispatch({ ...options, reset: true }, handler);
+    const pools = this.poolsFor(address);
+    pools[use].dispatch(use === 'singleUse' ? { ...options, reset: true } : options, handler);
+  }
+
+  /** Reads what has arrived on the batch connections to an endpoint. */
+  readBatches(address: string): void {
+    this.pools.get(address)?.batchedReads.readNow();
   }
 
   /** Closes the connections to an endpoint; requests in progress continue to their end. */
@@ -53,7 +71,7 @@
     const pools = this.pools.get(address);
     this.pools.delete(address);
     // Nothing waits for the connections to close, so a failure to close is not reported.
-    for (const pool of [pools?.reusable, pools?.singleUse]) pool?.close().catch(() => undefined);
+    for (const pool of allOf(pools)) pool.close().catch(() => undefined);
   }
 
   /** Addresses that have connection pools. */
@@ -63,10 +81,7 @@
 
   /** Closes all connections at once, including those with requests in progress. */
   async destroy(): Promise<void> {
-    const pools = [...this.pools.values()].flatMap(({ reusable, singleUse }) => [
-      reusable,
-      singleUse,
-    ]);
+    const pools = [...this.pools.values()].flatMap(allOf);
     this.pools.clear();
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
@@ -74,13 +89,23 @@
   private poolsFor(address: string): EndpointPools {
     const existing = this.pools.get(address);
     if (existing !== undefined) return existing;
-    const created = { reusable: createPool(address), singleUse: createPool(address) };
+    const batchedReads = new BatchedReads(BATCH_READ_INTERVAL_MS);
+    const created = {
+      reusable: createPool(address),
+      singleUse: createPool(address),
+      batch: createPool(address, batchedReads),
+      batchedReads,
+    };
     this.pools.set(address, created);
     return created;
   }
 }
 
-function createPool(address: string): Pool {
+function allOf(pools: EndpointPools | undefined): Pool[] {
+  return pools === undefined ? [] : [pools.reusable, pools.singleUse, pools.batch];
+}
+
+function createPool(address: string, batchedReads?: BatchedReads): Pool {
   return new Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
     pipelining: 1,
@@ -88,6 +113,6 @@
     // Endpoints allow seconds in their Keep-Alive response headers, which would override the limit
     // above.
     keepAliveMaxTimeout: KEEP_ALIVE_MS,
-    connect: connectorWithin(CONNECT_TIMEOUT_MS),
+    connect: connectorWithin(CONNECT_TIMEOUT_MS, batchedReads),
   });
 }
--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -57,8 +57,12 @@
   });
 }
 
+/** Enough for data to arrive on the loopback interface; shorter than the batches. */
+const ARRIVAL_MS = 20;
+
 interface SendOptions {
   readonly silenceLimitMs?: number;
+  readonly isBatch?: boolean;
   /** Whether the endpoint counts as crashed when its response has ended. */
   readonly hasCrashed?: boolean;
 }
@@ -71,7 +75,7 @@
 async function sendTo(
   port: number,
   onPart: (stop: () => void) => void = () => undefined,
-  { silenceLimitMs, hasCrashed = false }: SendOptions = {},
+  { silenceLimitMs, isBatch = false, hasCrashed = false }: SendOptions = {},
 ): Promise<Sent> {
   const sender = createSender(hasCrashed);
   const parts: string[] = [];
@@ -85,6 +89,7 @@
       headers: [],
       body: Buffer.from('body'),
       mayBeRepeated: true,
+      isBatch,
       ...(silenceLimitMs === undefined
         ? {}
         : { silence: { limitMs: silenceLimitMs, action: 'giveUp' } }),
@@ -279,6 +284,26 @@
     t.like((await sendTo(port)).result, { kind: 'ended', outcome: { kind: 'notSent' } });
   });
 
+  // Events of a batch response wait in the socket between two reads.
+  test(title('a batch response that is stopped keeps what has arrived'), async (t) => {
+    let endpointSocket: Socket | undefined;
+    const server = await startEndpoint((socket) => {
+      endpointSocket = socket;
+      socket.write(STREAM_HEAD + chunk('id: 1\ndata: a\n\n'));
+    });
+    const { port } = server.address() as AddressInfo;
+    let hasBegun = false;
+    const onPart = (stop: () => void): void => {
+      if (hasBegun) return;
+      hasBegun = true;
+      endpointSocket?.write(chunk('id: 2\ndata: b\n\n'), () => setTimeout(stop, ARRIVAL_MS));
+    };
+    const { result, parts } = await sendTo(port, onPart, { isBatch: true });
+    server.close();
+    t.deepEqual(result, { kind: 'stopped' });
+    t.deepEqual(parts, ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n']);
+  });
+
   test(title('gives up an unresponsive endpoint and closes its connection'), async (t) => {
     const closed: Promise<unknown>[] = [];
     const firstPart = STREAM_HEAD + chunk('id: 1\ndata: a\n\n');
--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -4,6 +4,7 @@
  */
 import type { Dispatcher } from 'undici';
 import { EndpointConnections } from './endpoint-connections.js';
+import type { ConnectionUse } from './endpoint-connections.js';
 import { EventFramer } from './event-framer.js';
 import type { StreamEvent } from './event-framer.js';
 import type { EndpointHead, EndpointProtocol, RawHeaders } from './protocol.js';
@@ -29,6 +30,8 @@
   readonly body: Buffer;
   /** Whether the request may be sent again if this send is lost. */
   readonly mayBeRepeated: boolean;
+  /** Whether nothing waits for the parts of the response, which are then read in batches. */
+  readonly isBatch?: boolean;
   /** When an unresponsive endpoint is detected; never if omitted. */
   readonly silence?: SilenceRule;
 }
@@ -64,7 +67,10 @@
 /** A send in progress. */
 export interface RunningSend {
   readonly result: Promise<SendResult>;
-  /** Closes the connection, so that the endpoint stops executing the request. */
+  /**
+   * Closes the connection, so that the endpoint stops executing the request. What has arrived of a
+   * batch response is delivered before.
+   */
   stop(): void;
   /** Resumes reading after {@link SendReceiver.onPart} returned false. */
   resume(): void;
@@ -96,7 +102,9 @@
 
   /** Starts a send. */
   send(send: Send, receiver: SendReceiver): RunningSend {
-    const handler = new SendHandler(this.options, send, receiver);
+    const handler = new SendHandler(this.options, send, receiver, () => {
+      this.connections.readBatches(send.address);
+    });
     this.track(send.address, handler);
     const options: Dispatcher.DispatchOptions & { readonly servername: string } = {
       method: send.method,
@@ -109,7 +117,7 @@
       // with a regular expression that takes 50 ms to compile at the first request.
       servername: PLACEHOLDER_SERVER_NAME,
     };
-    this.connections.dispatch(send.address, options, handler, send.mayBeRepeated);
+    this.connections.dispatch(send.address, options, handler, connectionUseOf(send));
     return handler;
   }
 
@@ -160,22 +168,30 @@
   private readonly options: EndpointSenderOptions;
   private readonly request: Send;
   private readonly receiver: SendReceiver;
+  private readonly readBatches: () => void;
   private settle: (result: SendResult) => void = () => undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private head: EndpointHead | undefined;
   private framer: EventFramer | undefined;
   private isForwarding = false;
   private isStopped = false;
+  private isSettled = false;
   private errorBody: Buffer[] = [];
   private errorBodyBytes = 0;
   private watchdog: ResponseWatchdog | undefined;
   private isReportedSilent = false;
 
-  constructor(options: EndpointSenderOptions, send: Send, receiver: SendReceiver) {
+  constructor(
+    options: EndpointSenderOptions,
+    send: Send,
+    receiver: SendReceiver,
+    readBatches: () => void,
+  ) {
     const { silence } = send;
     this.options = options;
     this.request = send;
     this.receiver = receiver;
+    this.readBatches = readBatches;
     this.result = new Promise((resolve) => {
       this.settle = resolve;
     });
@@ -191,6 +207,22 @@
   }
 
   stop(): void {
+    if (this.request.isBatch !== true) {
+      this.stopNow();
+      return;
+    }
+    this.readBatches();
+    // The data is read in the next turn of the event loop, and parsed before the one after it.
+    setImmediate(() => {
+      setImmediate(() => {
+        this.stopNow();
+      });
+    });
+  }
+
+  private stopNow(): void {
+    // The response may have ended meanwhile, and its connection may be in use again.
+    if (this.isSettled) return;
     // Settled before the abort, which is reported as a connection error.
     this.settleWith({ kind: 'stopped' });
     this.abort('the request was stopped');
@@ -326,6 +358,7 @@
   }
 
   private settleWith(result: SendResult): void {
+    this.isSettled = true;
     this.watchdog?.stop();
     this.settle(result);
   }
@@ -356,3 +389,8 @@
     this.controller?.abort(new Error(reason));
   }
 }
+
+function connectionUseOf({ mayBeRepeated, isBatch = false }: Send): ConnectionUse {
+  if (!mayBeRepeated) return 'singleUse';
+  return isBatch ? 'batch' : 'reusable';
+}
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -50,6 +50,7 @@
   private readonly pieces: string[];
   private lastEventId: string | undefined;
   private hasBegun = false;
+  private hasBeenStopped = false;
 
   constructor(options: ItemRunOptions) {
     const { granted, sender, protocol, endpointId, address } = options;
@@ -75,6 +76,7 @@
         headers: protocol.sendHeaders(request, terms),
         body: request.body,
         mayBeRepeated: true,
+        isBatch: true,
         silence: { limitMs: MAX_DATA_GAP_MS, action: 'giveUp' },
       },
       {
@@ -107,8 +109,14 @@
     return lastEventId === undefined ? undefined : { pieces, lastEventId };
   }
 
+  /** Whether the run was stopped; its result follows once what has arrived is read. */
+  get isStopped(): boolean {
+    return this.hasBeenStopped;
+  }
+
   /** Aborts the run. */
   stop(): void {
+    this.hasBeenStopped = true;
     this.sending.stop();
   }
 }
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -193,12 +193,12 @@
 
   private runningCountAt(endpointId: string): number {
     let count = 0;
-    for (const run of this.runs.values()) if (run.endpointId === endpointId) count += 1;
+    for (const run of this.runs.values()) if (isRunningAt(run, endpointId)) count += 1;
     return count;
   }
 
   private runsAt(endpointId: string): ItemRun[] {
-    return [...this.runs.values()].filter((run) => run.endpointId === endpointId);
+    return [...this.runs.values()].filter((run) => isRunningAt(run, endpointId));
   }
 
   private stopExcess(endpointId: string, allowed: number): void {
@@ -352,6 +352,10 @@
   return route.targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
 }
 
+function isRunningAt(run: ItemRun, endpointId: string): boolean {
+  return run.endpointId === endpointId && !run.isStopped;
+}
+
 function keyOf(ref: ItemRef): string {
   return `${ref.jobId}|${ref.index}`;
 }
--- a/packages/http-connector/src/connector.ts
+++ b/packages/http-connector/src/connector.ts
@@ -3,15 +3,23 @@
  */
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
+import type { BatchedReads } from './batched-reads.js';
 
-/** Returns a connector that stops opening a connection after `timeoutMs`. */
-export function connectorWithin(timeoutMs: number): buildConnector.connector {
+/**
+ * Returns a connector that stops opening a connection after `timeoutMs`. Its sockets are read in
+ * batches if `batchedReads` is given.
+ */
+export function connectorWithin(
+  timeoutMs: number,
+  batchedReads?: BatchedReads,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
     connect(options, (...result) => {
       const [error, socket] = result;
       if (error === null) {
         socket.prependListener('error', relabelReset);
+        batchedReads?.add(socket);
         verifyEndOfInput(socket);
       }
       callback(...result);
