Return the progress of a stopped item as a copy

A draining entry stopped its runs, returned their progress at once and went on reading what had arrived: the new events were added to the list that the progress shared, but not to its last event id, so the next run repeated them.

The progress is now a copy, and the entry waits for its runs to end before it returns it, so that it holds what had arrived. When one response of an endpoint ends or breaks, the batch connections to it are read at once: their ends are the evidence that a response without a length is truncated, and were noticed up to 100 ms apart.

--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -168,6 +168,10 @@
   private readonly options: EndpointSenderOptions;
   private readonly request: Send;
   private readonly receiver: SendReceiver;
+  /**
+   * Reads the batch connections to the endpoint. If the endpoint has ended, all its responses are then
+   * found to be broken at the same time, which shows that one without a length is truncated.
+   */
   private readonly readBatches: () => void;
   private settle: (result: SendResult) => void = () => undefined;
   private controller: Dispatcher.DispatchController | undefined;
@@ -285,6 +289,7 @@
   onResponseEnd(): void {
     const { head } = this;
     if (head === undefined) return;
+    if (head.endsWithConnection) this.readBatches();
     if (!this.isForwarding && head.isNotExecuted) {
       this.settleWith({ kind: 'ended', outcome: { kind: 'refused', status: head.status } });
       return;
@@ -303,6 +308,7 @@
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     const reason = (error as { code?: string }).code ?? error.message;
+    this.readBatches();
     if (this.controller === undefined) {
       this.settleWith({ kind: 'ended', outcome: { kind: 'notSent', reason } });
       return;
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -103,10 +103,13 @@
     return this.pieces.join('\n');
   }
 
-  /** Progress from which another run can resume; undefined if the item cannot be resumed. */
+  /**
+   * Progress from which another run can resume; undefined if the item cannot be resumed. Events that
+   * arrive later do not change it: they would stand twice in the text of the next run.
+   */
   get progress(): ItemProgress | undefined {
-    const { pieces, lastEventId } = this;
-    return lastEventId === undefined ? undefined : { pieces, lastEventId };
+    const { lastEventId } = this;
+    return lastEventId === undefined ? undefined : { pieces: [...this.pieces], lastEventId };
   }
 
   /** Whether the run was stopped; its result follows once what has arrived is read. */
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -105,6 +105,7 @@
     const runs = [...this.runs.values()];
     this.runs.clear();
     for (const run of runs) run.stop();
+    await Promise.all(runs.map(({ result }) => result));
     for (const run of runs) this.reporter.reportReturned(run.group, [returned(run)]);
     await Promise.all(this.crashChecks);
     await this.reporter.flush();
