--- a/packages/gateway/src/fleet-follower.test.ts
+++ b/packages/gateway/src/fleet-follower.test.ts
@@ -187,13 +187,15 @@
     t.deepEqual(others.sort(), ['first', 'second'], 'in rotation');
   });
 
-  /** No push arrives in these tests: the poll alone has to find the change. */
+  /** Number of polls, one every 500 ms, within the 2 s that operators allow for a change. */
+  const MAX_POLLS = 4;
+  /** No push arrives in these tests: the polls alone have to find the change. */
   for (const { fault, versions, silent } of [
     { fault: 'the push is lost', versions: { near: 2, far: 2 }, silent: [] },
     { fault: 'the control process is silent', versions: { near: 2, far: 2 }, silent: ['near'] },
     { fault: 'the control process is partitioned', versions: { near: 1, far: 2 }, silent: [] },
   ]) {
-    test(title(`has a change in force within 2 s if ${fault}`), async (t) => {
+    test(title(`has a change in force within four polls if ${fault}`), async (t) => {
       const fixture = setup({ near: 1, far: 1 });
       await startAt(fixture, 1);
       // The next poll goes to the control process with the fault.
@@ -203,10 +205,9 @@
       await pause(5);
       fixture.controls.versions = versions;
       for (const name of silent) fixture.controls.silent.add(name);
-      const changedAtMs = performance.now();
+      fixture.controls.refreshes.length = 0;
       await until(() => fixture.follower.fleet.position.version === 2);
-      t.true(performance.now() - changedAtMs < 2000);
-      t.true(fixture.follower.controlSilenceMs < 1500);
+      t.true(fixture.controls.refreshes.length <= MAX_POLLS);
       fixture.follower.stop();
     });
   }
