Log software versions of endpoints, and the attempt that a caller resumes

Cause: the record of joined versions cannot be read from logs. 'request sent' named no version, a caller's request that continues a stream did not name the attempt that began it, and item runs named neither. Change: heartbeats carry the software version to the entries (as part of their description, so that digests of an endpoint without a version stay those of earlier builds); 'request sent' and 'item run ended' log it, and 'resumes' names the caller's earlier attempt. No decision uses it yet.

--- a/packages/fleet/src/endpoint-registry.ts
+++ b/packages/fleet/src/endpoint-registry.ts
@@ -14,6 +14,11 @@
   readonly availabilityZone: string;
   /** Requests that the endpoint executes concurrently. */
   readonly slots: number;
+  /**
+   * Version of its software, the same for the whole incarnation; undefined if the endpoint states none
+   * or the heartbeat was relayed by an earlier version of shedline.
+   */
+  readonly softwareVersion?: string;
   /** Remaining warm-up time after the start, during which the endpoint is slow. */
   readonly warmUpLeftMs: number;
   /** Increases with each heartbeat of an incarnation, so that stale heartbeats are recognised. */
--- a/packages/fleet/src/heartbeat-digest.ts
+++ b/packages/fleet/src/heartbeat-digest.ts
@@ -29,8 +29,9 @@
 
 /** Whether the descriptions in two heartbeats are the same. */
 export function hasSameDescription(a: EndpointHeartbeat, b: EndpointHeartbeat): boolean {
-  const values = descriptionOf(b);
-  return descriptionOf(a).every((value, index) => value === values[index]);
+  const values = descriptionOf(a);
+  const others = descriptionOf(b);
+  return values.length === others.length && values.every((value, index) => value === others[index]);
 }
 
 /**
@@ -39,7 +40,10 @@
  */
 function descriptionOf(heartbeat: EndpointHeartbeat): readonly (string | number)[] {
   const { endpointId, startedAtMs, service, address, availabilityZone, slots } = heartbeat;
-  return [endpointId, startedAtMs, service, address, availabilityZone, slots];
+  const { softwareVersion } = heartbeat;
+  const description = [endpointId, startedAtMs, service, address, availabilityZone, slots];
+  // Without a version the fingerprint is that of earlier versions of shedline.
+  return softwareVersion === undefined ? description : [...description, softwareVersion];
 }
 
 /** The heartbeats that digests stand for, and the fingerprints without a known description. */
--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -21,7 +21,8 @@
   choose(_service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
     this.chooseCalls += 1;
     for (const [endpointId, count] of this.free) {
-      if (count > 0 && !tried.has(endpointId)) return { endpointId, address: 'a:1', load: 0 };
+      if (count > 0 && !tried.has(endpointId))
+        return { endpointId, address: 'a:1', softwareVersion: '', load: 0 };
     }
     return undefined;
   }
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -29,6 +29,8 @@
   readonly endpointId: string;
   /** `host:port`. */
   readonly address: string;
+  /** Version of its software; empty if it states none. */
+  readonly softwareVersion: string;
   /** Estimated number of requests in progress at the endpoint, for the log. */
   readonly load: number;
   /**
--- a/packages/forwarding/src/forward-log.ts
+++ b/packages/forwarding/src/forward-log.ts
@@ -34,12 +34,15 @@
     },
   ): void {
     const { resumeAfterEventId, ...numbers } = details;
+    const { resumesRequestId } = this.task.request;
     this.logger.info('request sent', {
       ...this.endpointFields(endpoint),
+      softwareVersion: endpoint.softwareVersion,
       version: this.task.version,
       load: endpoint.load,
       ...numbers,
       ...(resumeAfterEventId === undefined ? {} : { resumeAfterEventId }),
+      ...(resumesRequestId === undefined ? {} : { resumes: resumesRequestId }),
     });
   }
 
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -68,7 +68,9 @@
   }
 
   choose(): ChosenEndpoint | undefined {
-    return this.slots > 0 ? { endpointId: 'e', address: 'a:1', load: 0 } : undefined;
+    return this.slots > 0
+      ? { endpointId: 'e', address: 'a:1', softwareVersion: '', load: 0 }
+      : undefined;
   }
   capacity(): { slots: number; entryCount: number } {
     return { slots: 1, entryCount: 1 };
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -20,6 +20,8 @@
   readonly workspace?: string;
   /** Id of the event after which the caller wants the stream to resume. */
   readonly resumeAfterEventId?: string;
+  /** Id of the caller's attempt that brought the first event of the stream to resume. */
+  readonly resumesRequestId?: string;
   /** List of the parts of its prompt, as sent by the caller. */
   readonly prompt?: string;
   /** Part of its prompt that other requests share. */
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -103,6 +103,7 @@
     const all = this.endpoints.map(({ relay }) => ({
       endpointId: `e-${relay.port}`,
       address: `127.0.0.1:${relay.port}`,
+      softwareVersion: '',
       load: 0,
     }));
     const free = all.filter(({ endpointId }) => !tried.has(endpointId));
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -101,6 +101,8 @@
   private readonly startRate = new StartRate();
   private readonly routing: SlotRouting;
   private readonly addresses = new Map<string, string>();
+  /** Software versions of the incarnations that state one. */
+  private readonly softwareVersions = new Map<string, string>();
   /** Heartbeat of the latest incarnation of each endpoint, by endpoint id. */
   private readonly latestHeartbeats = new Map<string, EndpointHeartbeat>();
 
@@ -129,6 +131,8 @@
       const isLeaving = this.options.isLeaving(runId);
       this.directory.observe(announcementOf(heartbeat, isLeaving), ageMs, nowMs);
       this.addresses.set(runId, heartbeat.address);
+      const { softwareVersion } = heartbeat;
+      if (softwareVersion !== undefined) this.softwareVersions.set(runId, softwareVersion);
     }
     return isAnyNew;
   }
@@ -155,6 +159,7 @@
   private forget(runId: string): void {
     this.directory.remove(runId);
     this.addresses.delete(runId);
+    this.softwareVersions.delete(runId);
     this.loads.remove(runId);
   }
 
@@ -185,6 +190,9 @@
     for (const runId of this.addresses.keys()) {
       if (!liveIds.has(runId)) this.addresses.delete(runId);
     }
+    for (const runId of this.softwareVersions.keys()) {
+      if (this.directory.get(runId) === undefined) this.softwareVersions.delete(runId);
+    }
     // Other entries also report loads of incarnations that are unknown or already removed here.
     this.loads.removeAllExcept(liveIds);
     for (const [endpointId, heartbeat] of this.latestHeartbeats) {
@@ -227,6 +235,11 @@
     return this.addresses.get(endpointId);
   }
 
+  /** Returns the software version of an endpoint; empty if it states none or is unknown. */
+  softwareVersionOf(endpointId: string): string {
+    return this.softwareVersions.get(endpointId) ?? '';
+  }
+
   /** Returns the service of an endpoint; undefined if the endpoint is unknown. */
   serviceOf(endpointId: string): string | undefined {
     return this.directory.get(endpointId)?.announcement.services[0];
@@ -243,7 +256,8 @@
     const address = this.addresses.get(endpointId);
     if (address === undefined) return undefined;
     if (online + batch >= slots && batch > 0) this.options.onSlotWanted(endpointId);
-    return { endpointId, address, load: online + batch };
+    const softwareVersion = this.softwareVersionOf(endpointId);
+    return { endpointId, address, softwareVersion, load: online + batch };
   }
 
   capacity(service: string, excluded: ReadonlySet<string>): WaitingCapacity {
--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -20,6 +20,7 @@
     } as unknown as ConstructorParameters<typeof ItemRun>[0]['granted'],
     endpointId: 'e',
     address: 'a:1',
+    softwareVersion: 'v1',
     sender: {
       send: (_send, given) => {
         receiver = given;
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -28,6 +28,8 @@
   readonly endpointId: string;
   /** `host:port`. */
   readonly address: string;
+  /** Version of the endpoint's software; empty if it states none. */
+  readonly softwareVersion: string;
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly nowMs: () => number;
@@ -43,6 +45,7 @@
   readonly granted: GrantedItem;
   readonly endpointId: string;
   readonly address: string;
+  readonly softwareVersion: string;
   readonly startedAtMs: number;
   readonly result: Promise<SendResult>;
   /** Whether this run started from the beginning, not from the progress of previous runs. */
@@ -61,6 +64,7 @@
     this.granted = granted;
     this.endpointId = endpointId;
     this.address = address;
+    this.softwareVersion = options.softwareVersion;
     this.ref = { jobId: granted.jobId, index: granted.index };
     this.startedAtMs = options.nowMs();
     this.isFromStart = granted.progress === undefined;
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -309,7 +309,8 @@
     const onFirstEvent = (): void => {
       pool.noteResponseStarted(endpointId);
     };
-    const target = { endpointId, address, sender, protocol, nowMs, onFirstEvent };
+    const softwareVersion = pool.softwareVersionOf(endpointId);
+    const target = { endpointId, address, softwareVersion, sender, protocol, nowMs, onFirstEvent };
     const run = new ItemRun({ runNumber, group, granted, ...target });
     this.runs.set(keyOf(run.ref), run);
     this.noteSharing(endpointId, 0);
@@ -458,7 +459,9 @@
       job: jobId,
       index,
       endpoint: run.endpointId,
+      softwareVersion: run.softwareVersion,
       run: run.runNumber,
+      resumedAfterEvents: run.granted.progress?.pieces.length ?? 0,
       outcome,
       events: run.eventCount,
       tookMs: Math.round(this.options.nowMs() - run.startedAtMs),
