Continue a response only at the software version that began it

Cause: after a send broke off, any endpoint that was not tried could continue the stream. Change: from its first event on, a request is bound to the software version of that endpoint. The queue waits for a slot of that version, and gives up at once where no endpoint of it is up; ejected ones are up.

--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -148,6 +148,19 @@
     return this.usableEndpoints(nowMs, (announcement) => announcement.services.includes(service));
   }
 
+  /**
+   * Returns the endpoints of a plain service that are up and not draining, including those that are
+   * ejected for a time.
+   */
+  upForService(service: string, nowMs: number): KnownEndpoint[] {
+    return [...this.records.values()].filter(
+      (record) =>
+        record.announcement.services.includes(service) &&
+        this.hasLease(record, nowMs) &&
+        !hasEnded(record),
+    );
+  }
+
   /** Returns an endpoint if it may receive new requests for a plain service. */
   endpointForService(
     endpointId: string,
@@ -262,8 +275,7 @@
    * time until one succeeds.
    */
   private isAdmitted(record: EndpointRecord, nowMs: number): boolean {
-    if (nowMs < record.ejectedUntilMs || record.processEndedAtMs >= record.announcedAtMs)
-      return false;
+    if (nowMs < record.ejectedUntilMs || hasEnded(record)) return false;
     return !(record.ejections > 0 && record.isProbing);
   }
 
@@ -310,6 +322,11 @@
   return announcement.sequence > known.sequence;
 }
 
+/** Whether the process of an endpoint has ended since its latest announcement. */
+function hasEnded({ processEndedAtMs, announcedAtMs }: EndpointRecord): boolean {
+  return processEndedAtMs >= announcedAtMs;
+}
+
 function newRecord(announcement: Announcement, announcedAtMs: number): EndpointRecord {
   return {
     announcement,
--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { describe, title } from '@shedline/test-utils';
+import type { ChoiceOptions } from '@shedline/types';
 import { EndpointQueue } from './endpoint-queue.js';
 import type {
   ChosenEndpoint,
@@ -15,18 +16,30 @@
 class FakeFinder implements EndpointFinder {
   readonly announcedWithinMs = 1200;
   readonly free = new Map<string, number>();
+  /** Software versions of the endpoints that are up. */
+  readonly versions = new Map<string, string>();
   slots = 0;
   chooseCalls = 0;
 
-  choose(_service: string, tried: ReadonlySet<string>): ChosenEndpoint | undefined {
+  choose(
+    _service: string,
+    tried: ReadonlySet<string>,
+    { softwareVersion: required }: ChoiceOptions = {},
+  ): ChosenEndpoint | undefined {
     this.chooseCalls += 1;
     for (const [endpointId, count] of this.free) {
-      if (count > 0 && !tried.has(endpointId))
-        return { endpointId, address: 'a:1', softwareVersion: '', load: 0 };
+      const softwareVersion = this.versions.get(endpointId) ?? '';
+      const isAllowed = required === undefined || softwareVersion === required;
+      if (count > 0 && isAllowed && !tried.has(endpointId))
+        return { endpointId, address: 'a:1', softwareVersion, load: 0 };
     }
     return undefined;
   }
 
+  isServed(_service: string, softwareVersion: string): boolean {
+    return [...this.versions.values()].includes(softwareVersion);
+  }
+
   noteSendStarted(endpointId: string): void {
     this.free.set(endpointId, (this.free.get(endpointId) ?? 0) - 1);
   }
@@ -136,6 +149,34 @@
     t.deepEqual(order, ['only refused']);
   });
 
+  describe('a request that only one software version may serve', () => {
+    test(title('waits for a slot of it, and leaves the other slots to others'), async (t) => {
+      const all = setup(8);
+      all.finder.versions.set('old', 'v1').set('new', 'v2');
+      const order = collectOrder(all, {
+        bound: request({ softwareVersion: 'v1' }),
+        free: request({ targetDeadlineMs: 400 }),
+      });
+      all.finder.free.set('new', 2);
+      all.queue.ended(SERVICE);
+      await settled();
+      t.deepEqual(order, ['free']);
+      all.finder.free.set('old', 1);
+      all.queue.ended(SERVICE);
+      await settled();
+      t.deepEqual(order, ['free', 'bound']);
+    });
+
+    test(title('is refused at once if no endpoint of it is up'), async (t) => {
+      const all = setup(8);
+      all.finder.versions.set('new', 'v2');
+      all.finder.free.set('new', 8);
+      const order = collectOrder(all, { bound: request({ softwareVersion: 'v1' }) });
+      await settled();
+      t.deepEqual(order, ['bound refused']);
+    });
+  });
+
   test(
     title('a tried endpoint is chosen again only if it did not execute the request'),
     async (t) => {
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -66,7 +66,16 @@
    * Returns the capacity of a service without the `excluded` endpoints; 0 slots if none is known to
    * be up.
    */
-  capacity(service: string, excluded: ReadonlySet<string>): WaitingCapacity;
+  capacity(
+    service: string,
+    excluded: ReadonlySet<string>,
+    softwareVersion?: string,
+  ): WaitingCapacity;
+  /**
+   * Whether an endpoint of this software version outside `excluded` is up, though it may have no free
+   * slot or be ejected for a time.
+   */
+  isServed(service: string, softwareVersion: string, excluded: ReadonlySet<string>): boolean;
   /** Time within which every endpoint that is up has announced itself. */
   readonly announcedWithinMs: number;
 }
@@ -78,6 +87,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether an endpoint of `tried` may be chosen again if no other has a free slot. */
   readonly mayRetryTried: boolean;
+  /** Software version that must serve the request; any if omitted. */
+  readonly softwareVersion?: string;
   readonly prompt?: SharedPrompt;
 }
 
@@ -267,8 +278,9 @@
     // Queueing at an endpoint avoids idle time between executions, but requests there are no longer
     // reordered.
     const endpoint = this.assignEndpoint(request, scan.waitingCount <= 1);
-    // A request with no endpoint excluded found no slot, so no other request will.
-    if (endpoint === undefined && request.tried.size === 0) scan.isExhausted = true;
+    // A request that any endpoint may serve found no slot, so no other request will.
+    const isUnrestricted = request.tried.size === 0 && request.softwareVersion === undefined;
+    if (endpoint === undefined && isUnrestricted) scan.isExhausted = true;
     return endpoint;
   }
 
@@ -276,9 +288,9 @@
     request: EndpointQueueRequest,
     mayQueue: boolean,
   ): ChosenEndpoint | undefined {
-    const { service, tried, mayRetryTried, prompt } = request;
+    const { service, tried, mayRetryTried, prompt, softwareVersion } = request;
     const isRetryPossible = mayRetryTried && tried.size > 0;
-    const options = { mayQueue, prompt };
+    const options = { mayQueue, prompt, softwareVersion };
     const found =
       this.finder.choose(service, tried, options) ??
       (isRetryPossible ? this.finder.choose(service, NONE, options) : undefined);
@@ -296,9 +308,14 @@
     nowMs: number,
   ): boolean {
     if (request.deadlineMs <= nowMs) return true;
-    const { service, tried, mayRetryTried } = request;
-    const isAnyUsable = mayRetryTried || tried.size === 0;
-    const capacity = isAnyUsable ? scan.capacity : this.finder.capacity(service, tried);
+    const { service, tried, mayRetryTried, softwareVersion } = request;
+    const excluded = mayRetryTried ? NONE : tried;
+    const isUnrestricted = excluded.size === 0 && softwareVersion === undefined;
+    const capacity = isUnrestricted
+      ? scan.capacity
+      : this.finder.capacity(service, excluded, softwareVersion);
+    if (softwareVersion !== undefined && !this.finder.isServed(service, softwareVersion, excluded))
+      return true;
     if (capacity.slots === 0) return nowMs - enqueuedAtMs >= this.finder.announcedWithinMs;
     const estimate = this.estimateOf(service);
     const isLate = timelinessOf(request, nowMs) === 'late';
--- a/packages/forwarding/src/forward-log.ts
+++ b/packages/forwarding/src/forward-log.ts
@@ -82,6 +82,18 @@
     });
   }
 
+  /** Logs that no endpoint of the software version that began the stream can continue it. */
+  notContinued(softwareVersion: string, resumeAfterEventId: string | undefined): void {
+    const { requestId, resumesRequestId } = this.task.request;
+    this.logger.info('stream not continued: no endpoint of its software version is available', {
+      step: 'forward',
+      request: requestId,
+      softwareVersion,
+      ...(resumeAfterEventId === undefined ? {} : { resumeAfterEventId }),
+      ...(resumesRequestId === undefined ? {} : { resumes: resumesRequestId }),
+    });
+  }
+
   /** Logs that the request ended. */
   ended(outcome: ForwardEnd, { sends, tookMs, waitedMs, firstPartMs }: ForwardSummary): void {
     const { request, route, version } = this.task;
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -73,4 +73,6 @@
   /** When the caller's first attempt was made, as far as known, on the same clock. */
   readonly firstAttemptAtMs: number;
   readonly sink: ResponseSink;
+  /** Software version that began the stream which the caller resumes; undefined for a new one. */
+  readonly softwareVersion?: string;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -39,6 +39,8 @@
   private ticket: QueueTicket | undefined;
   private waitedMs = 0;
   private isHeadSent = false;
+  /** Software version whose events the caller has; only endpoints of it may continue the stream. */
+  private softwareVersion: string | undefined;
   private running: RunningSend | undefined;
   private firstPartMs: number | undefined;
   /** Whether the request had passed its target when its endpoint was chosen. */
@@ -53,6 +55,7 @@
     this.task = task;
     this.log = new ForwardLog(options.logger, task);
     this.startedAtMs = options.nowMs();
+    this.softwareVersion = task.softwareVersion;
     const { route, request, deadlineMs } = task;
     this.content = new GuardedContent({ guard: options.guard, host: route.host, request });
     this.plan = new RequestPlan({
@@ -81,6 +84,8 @@
         return this.close('callerGone');
       }
       if (endpoint === undefined) {
+        if (this.softwareVersion !== undefined)
+          this.log.notContinued(this.softwareVersion, step.resumeAfterEventId);
         const nextSlotInMs = this.queue.nextSlotInMs(this.task.service);
         step = this.plan.giveUp(this.options.nowMs(), nextSlotInMs);
         break;
@@ -144,6 +149,7 @@
       // If every endpoint was tried, one that refused the request may have a free slot by now.
       mayRetryTried: !this.plan.isInDoubt,
       rank,
+      ...(this.softwareVersion === undefined ? {} : { softwareVersion: this.softwareVersion }),
       ...(request.workspace === undefined ? {} : { workspace: request.workspace }),
       targetDeadlineMs: this.isHeadSent
         ? sinceMs + route.longestPauseMs
@@ -244,6 +250,7 @@
         onPart: (bytes, event) => {
           if (this.firstPartMs === undefined) this.options.chooser.noteResponseStarted(endpointId);
           this.firstPartMs ??= nowMs() - sentAtMs;
+          this.softwareVersion ??= endpoint.softwareVersion;
           return this.forwardPart(bytes, event?.id);
         },
         onSilence: (isSilent) => {
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -75,6 +75,10 @@
   capacity(): { slots: number; entryCount: number } {
     return { slots: 1, entryCount: 1 };
   }
+  isServed(): boolean {
+    return true;
+  }
+
   noteSendStarted(): void {
     this.slots -= 1;
   }
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -115,6 +115,10 @@
     return { slots: 100, entryCount: 1 };
   }
 
+  isServed(): boolean {
+    return true;
+  }
+
   noteSendStarted(): void {
     this.inFlight += 1;
   }
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -109,6 +109,45 @@
   });
 });
 
+describe('endpoints of a software version', () => {
+  test(title('alone are chosen and counted if one is required'), (t) => {
+    const setup = new Setup();
+    setup.pool.observeHeartbeats([
+      heartbeatOf({ endpointId: 'a', sequence: 1, softwareVersion: 'v1' }),
+      heartbeatOf({ endpointId: 'b', sequence: 1, softwareVersion: 'v2' }),
+    ]);
+    const required = { softwareVersion: 'v2' };
+    t.like(setup.pool.choose(SERVICE, NONE, required), { endpointId: 'b', softwareVersion: 'v2' });
+    t.is(setup.pool.capacity(SERVICE, NONE, 'v2').slots, SLOTS);
+    t.is(setup.pool.choose(SERVICE, new Set(['b']), required), undefined);
+  });
+
+  test(title('are up while they are ejected, but not after their process has ended'), (t) => {
+    const setup = new Setup();
+    setup.pool.observeHeartbeats([
+      heartbeatOf({ endpointId: 'a', sequence: 1, softwareVersion: 'v1' }),
+    ]);
+    const failed = { kind: 'ended', outcome: { kind: 'lost', reason: 'r' } } as const;
+    for (let failure = 0; failure < 2; failure += 1) setup.pool.recordOutcome('a', failed, 0);
+    t.true(setup.pool.isServed(SERVICE, 'v1', NONE));
+    t.false(setup.pool.isServed(SERVICE, 'v1', new Set(['a'])));
+    t.false(setup.pool.isServed(SERVICE, 'v2', NONE));
+    setup.pool.markDown('a');
+    t.false(setup.pool.isServed(SERVICE, 'v1', NONE));
+  });
+
+  // A delayed heartbeat names the version of an earlier run.
+  test(title('have that of their latest run'), (t) => {
+    const setup = new Setup();
+    setup.pool.observeHeartbeats([
+      heartbeatOf({ endpointId: 'a', startedAtMs: 2, sequence: 1, softwareVersion: 'v2' }),
+      heartbeatOf({ endpointId: 'a', startedAtMs: 1, sequence: 9, softwareVersion: 'v1' }),
+    ]);
+    t.false(setup.pool.isServed(SERVICE, 'v1', NONE));
+    t.true(setup.pool.isServed(SERVICE, 'v2', NONE));
+  });
+});
+
 describe('endpoints outside the subset', () => {
   /**
    * Entries do not know the load of endpoints outside their subset. When they assumed none and
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -260,14 +260,30 @@
     return { endpointId, address, softwareVersion, load: online + batch };
   }
 
-  capacity(service: string, excluded: ReadonlySet<string>): WaitingCapacity {
+  capacity(
+    service: string,
+    excluded: ReadonlySet<string>,
+    softwareVersion?: string,
+  ): WaitingCapacity {
     const known = this.directory
       .forService(service, this.options.nowMs())
-      .filter(({ announcement }) => !excluded.has(announcement.endpointId));
+      .filter(
+        ({ announcement: { endpointId } }) =>
+          !excluded.has(endpointId) && this.hasSoftwareVersion(endpointId, softwareVersion),
+      );
     const slots = known.reduce((sum, { announcement }) => sum + announcement.load.capacity, 0);
     return { slots, entryCount: this.options.entryCount() };
   }
 
+  isServed(service: string, softwareVersion: string, excluded: ReadonlySet<string>): boolean {
+    return this.directory
+      .upForService(service, this.options.nowMs())
+      .some(
+        ({ announcement: { endpointId } }) =>
+          !excluded.has(endpointId) && this.hasSoftwareVersion(endpointId, softwareVersion),
+      );
+  }
+
   get announcedWithinMs(): number {
     return this.options.heartbeatMs;
   }
@@ -373,13 +389,18 @@
     tried: ReadonlySet<string>,
     options: ChoiceOptions,
   ): SlotCandidate | undefined {
-    const isUntried = ({ endpointId }: SlotCandidate): boolean => !tried.has(endpointId);
-    const usable = this.usableInSubset(service).filter(isUntried);
+    const mayServe = ({ endpointId }: SlotCandidate): boolean =>
+      !tried.has(endpointId) && this.hasSoftwareVersion(endpointId, options.softwareVersion);
+    const usable = this.usableInSubset(service).filter(mayServe);
     const mayQueue = options.mayQueue !== false && !this.areLoadsUnknown;
     const zone = this.options.availabilityZone;
     const chosen = this.routing.choose(usable, zone, { ...options, mayQueue });
     if (chosen !== undefined || this.hasEnoughUsable(usable.length)) return chosen;
-    return this.chooseOutsideSubset(this.usable(service).filter(isUntried));
+    return this.chooseOutsideSubset(this.usable(service).filter(mayServe));
+  }
+
+  private hasSoftwareVersion(endpointId: string, required: string | undefined): boolean {
+    return required === undefined || this.softwareVersionOf(endpointId) === required;
   }
 
   /** Returns whether enough of the subset is usable to keep requests within it. */
--- a/packages/types/src/choice-options.ts
+++ b/packages/types/src/choice-options.ts
@@ -6,4 +6,6 @@
   readonly mayQueue?: boolean;
   /** Part of its prompt that it shares with other requests. */
   readonly prompt?: SharedPrompt | undefined;
+  /** Software version that the endpoint must have; any if omitted. */
+  readonly softwareVersion?: string | undefined;
 }
