Continue a caller's stream only at the software version that began it

Callers that took a stream up at another entry got events of two software versions: 8 of 16 streams in the test, 9 of 16 if taken up twice, 14 of 16 after the entry that began them had stopped. Cause: no entry knew which version began a stream of an earlier attempt; the header that names the attempt was not read. Change: an entry records the version under the id of the caller's attempt before it passes the first event on. While several versions serve it sends the record to three control processes, which an entry asks that has no record itself. Without a record, a stream continues only if a majority of the control processes and the entry know one version alone; otherwise the request is refused as not run.

--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -24,10 +24,12 @@
 import type { Link, PeerAddress, PeerConnections } from '@shedline/transport';
 import { SavedEndpoints } from './saved-endpoints.js';
 import type { QuotaRequest, UsageReport } from '@shedline/quota';
+import type { OriginRecord, OriginRequest } from '@shedline/stream-origins';
 import { FleetStateMachine, FLEET_GROUP } from './group-state-machines.js';
 import { forwardingUrgency } from './forwarding-urgency.js';
 import { groupSettings } from './group-settings.js';
 import { HeartbeatBatcher } from './heartbeat-batcher.js';
+import { OriginRegistry } from './origin-registry.js';
 import { callPortsOf, ownCallPort } from './peer-ports.js';
 import { peerAddressFromName, seedAddresses } from './ports.js';
 import { ProcessCore } from './process-core.js';
@@ -65,6 +67,7 @@
   private readonly logger: Logger;
   private readonly nowMs: () => number;
   private readonly registry: EndpointRegistry;
+  private readonly origins: OriginRegistry;
   private readonly heartbeatBatcher: HeartbeatBatcher;
   private readonly savedEndpoints: SavedEndpoints | undefined;
   private readonly groups: GroupNode | undefined;
@@ -103,6 +106,7 @@
     });
     this.stores = this.core.createPeerConnections();
     this.registry = new EndpointRegistry(this.core.epoch);
+    this.origins = new OriginRegistry({ nowMs: this.nowMs });
     this.heartbeatBatcher = this.createHeartbeatBatcher();
     this.savedEndpoints = this.createSavedEndpoints();
     this.stateMachine = new FleetStateMachine(() => {
@@ -135,7 +139,7 @@
   /** Joins the fleet, or forms it with the other seeds if it is new. */
   async start(): Promise<void> {
     await this.groups?.open();
-    await this.savedEndpoints?.restore();
+    await this.restoreEndpoints();
     this.savedEndpoints?.start();
     await this.core.listen();
     if (this.groups !== undefined) this.core.mesh.update({ memberId: this.groups.memberId });
@@ -190,6 +194,7 @@
     const nowMs = this.nowMs();
     const known = this.registry.latestOf(heartbeat.endpointId, nowMs);
     const urgency = forwardingUrgency(heartbeat, known, this.settings.heartbeatMs);
+    this.origins.observe(heartbeat, 0);
     if (!this.registry.record(heartbeat, 0, nowMs)) return;
     // Other processes poll at short intervals; only new incarnations are pushed to all of them.
     this.heartbeatBatcher.add(heartbeat, urgency);
@@ -257,6 +262,13 @@
     }
   }
 
+  /** Restores the endpoints of before the start, and with them the software versions that served. */
+  private async restoreEndpoints(): Promise<void> {
+    const heartbeats = (await this.savedEndpoints?.restore()) ?? [];
+    for (const heartbeat of heartbeats) this.origins.observe(heartbeat, 0);
+    if (heartbeats.length > 0 || this.settings.isFounding) this.origins.markEarlierVersionsKnown();
+  }
+
   private createQuotas(): QuotaCounter {
     const { logger, nowMs, core } = this;
     return new QuotaCounter({
@@ -271,6 +283,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_quota_counts', () => this.quotas.size);
+    this.metrics.gauge('shedline_stream_origins', () => this.origins.size);
     const { state } = this.stateMachine;
     this.metrics.gauge('shedline_configuration_version', () => state.position.version);
     this.metrics.gauge('shedline_leave_records', () => state.position.leaveCount);
@@ -384,6 +397,8 @@
         return (await this.requireLeadingLifecycle(method).retirement(payload as string)) ?? null;
       case 'endpointRun':
         return this.registry.runOf(payload as string) ?? null;
+      case 'streamOrigin':
+        return this.origins.reply(payload as OriginRequest);
       case 'quotaAsk':
         return this.quotas.grant(payload as QuotaRequest);
       case 'fleetPropose':
@@ -465,8 +480,10 @@
   private onMessage(method: string, payload: unknown, link: Pick<Link, 'send'>): void {
     if (this.groups?.onMessage(method, payload, link) === true) return;
     if (method === 'quotaUse') this.recordUsage(payload as UsageReport[], link);
+    if (method === 'streamOrigins') this.origins.record(payload as OriginRecord[]);
     if (method !== 'heartbeats') return;
     for (const { heartbeat, ageMs } of payload as AgedHeartbeat[]) {
+      this.origins.observe(heartbeat, ageMs);
       this.registry.record(heartbeat, ageMs, this.nowMs());
     }
   }
--- a/packages/fleet-control/src/saved-endpoints.ts
+++ b/packages/fleet-control/src/saved-endpoints.ts
@@ -41,12 +41,13 @@
     this.files = new NodeFileSystem(options.dataDir);
   }
 
-  /** Restores the endpoints that the previous process saved. */
-  async restore(): Promise<void> {
+  /** Restores the endpoints that the previous process saved, and returns their heartbeats. */
+  async restore(): Promise<readonly EndpointHeartbeat[]> {
     const { registry, heartbeatMs, logger, nowMs } = this.options;
     const heartbeats = await this.read();
     for (const heartbeat of heartbeats) registry.record(heartbeat, heartbeatMs, nowMs());
     logger.info('restored saved endpoints', { step: 'start', endpoints: heartbeats.length });
+    return heartbeats;
   }
 
   /** Starts to save periodically. */
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -75,4 +75,6 @@
   readonly sink: ResponseSink;
   /** Software version that began the stream which the caller resumes; undefined for a new one. */
   readonly softwareVersion?: string;
+  /** Called before the first event is passed on, with the software version that wrote it. */
+  readonly onFirstEvent?: (softwareVersion: string) => void;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -39,6 +39,8 @@
   private ticket: QueueTicket | undefined;
   private waitedMs = 0;
   private isHeadSent = false;
+  /** Whether the caller has got a part of the response. */
+  private hasForwarded = false;
   /** Software version whose events the caller has; only endpoints of it may continue the stream. */
   private softwareVersion: string | undefined;
   private running: RunningSend | undefined;
@@ -250,6 +252,8 @@
         onPart: (bytes, event) => {
           if (this.firstPartMs === undefined) this.options.chooser.noteResponseStarted(endpointId);
           this.firstPartMs ??= nowMs() - sentAtMs;
+          if (!this.hasForwarded) this.task.onFirstEvent?.(endpoint.softwareVersion);
+          this.hasForwarded = true;
           this.softwareVersion ??= endpoint.softwareVersion;
           return this.forwardPart(bytes, event?.id);
         },
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -36,6 +36,7 @@
 import { StartupGate } from './startup-gate.js';
 import type { DisconnectNotifier } from './startup-gate.js';
 import { STORE_LINGER_MS, StoreConnections } from './store-connections.js';
+import { StreamOrigins } from './stream-origins.js';
 
 /** Ticks between sweeps: one second. */
 const TICKS_PER_SWEEP = 1000 / TICK_INTERVAL_MS;
@@ -93,6 +94,7 @@
   private readonly forwarder: Forwarder;
   private readonly requestHandler: RequestHandler;
   private readonly quotas: QuotaEnforcer;
+  private readonly streamOrigins: StreamOrigins;
   private readonly entryConnections: EntryConnections;
   private readonly stores: PeerConnections;
   private readonly storeConnections: StoreConnections;
@@ -186,10 +188,17 @@
       logger,
       nowMs: this.nowMs,
     });
+    this.streamOrigins = new StreamOrigins({
+      controls: this.core.mesh.controls,
+      metrics: this.metrics,
+      logger,
+      nowMs: this.nowMs,
+    });
     this.requestHandler = new RequestHandler({
       fleet,
       forwarder: this.forwarder,
       quotas: this.quotas,
+      origins: this.streamOrigins,
       stop: this.shutdown,
       metrics: this.metrics,
       logger,
@@ -342,6 +351,7 @@
       },
       onControlConnected: (control) => {
         this.follower.onControlConnected(control);
+        this.streamOrigins.onControlConnected(control);
       },
     });
   }
@@ -373,6 +383,7 @@
       logger: this.logger,
       nowMs: this.nowMs,
       onHeartbeats: (heartbeats) => {
+        this.streamOrigins.observeHeartbeats(heartbeats);
         if (this.pool.observeHeartbeats(heartbeats)) this.subsetRefresh.schedule();
       },
       onCrashes: (changes, from) => {
@@ -469,6 +480,7 @@
     this.metrics.gauge('shedline_open_requests', () => this.requestHandler.openRequests);
     this.metrics.gauge('shedline_waiting_requests', () => this.forwarder.waitingCount);
     this.metrics.gauge('shedline_held_at_start', () => this.startupGate.waitingCount);
+    this.metrics.gauge('shedline_stream_origins', () => this.streamOrigins.recordCount);
     this.metrics.gauge('shedline_running_items', () => this.itemRunner.runningCount);
     this.metrics.gauge(
       'shedline_configuration_version',
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,17 +5,22 @@
 import { CallerTimeLimits } from '@shedline/admission';
 import { chooseService } from '@shedline/fleet';
 import type { KnownFleet, Route, RouteTable, Workspace } from '@shedline/fleet';
-import type { ResponseSink, CallerRequest, Forwarder } from '@shedline/forwarding';
+import type { ResponseSink, CallerRequest, ForwardEnd, Forwarder } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { ProcessMetrics } from '@shedline/metrics';
+import type { StreamAttempt, StreamOrigin } from '@shedline/stream-origins';
 import type { GracefulShutdown } from './graceful-shutdown.js';
 import type { QuotaEnforcer, QuotaRefusal, QuotaVerdict } from './quota-enforcer.js';
+import type { StreamOrigins } from './stream-origins.js';
 
 /** Retry delay for callers refused before the routes are known; they should try another entry. */
 const NOT_READY_RETRY_MS = 300;
 /** Retry delay for callers refused during shutdown; they should try another entry. */
 const STOPPING_RETRY_MS = 100;
 
+/** Retry delay for callers whose stream began at an unknown software version; another entry may know. */
+const UNKNOWN_ORIGIN_RETRY_MS = 100;
+
 /** A decoded request of a caller. */
 export interface IncomingRequest {
   readonly caller: CallerRequest;
@@ -41,6 +46,7 @@
   readonly fleet: KnownFleet;
   readonly forwarder: Forwarder;
   readonly quotas: Pick<QuotaEnforcer, 'admit' | 'refund'>;
+  readonly origins: Pick<StreamOrigins, 'begun' | 'find'>;
   readonly stop: Pick<GracefulShutdown, 'isClosing'>;
   readonly metrics: ProcessMetrics;
   readonly logger: Logger;
@@ -98,24 +104,76 @@
   }
 
   private async forwardAdmitted(admitted: AdmittedRequest, sink: ResponseSink): Promise<void> {
-    const { caller, workspace, route, routes, timeLeftMs, askedAtMs } = admitted;
-    const { forwarder, quotas, metrics, random, nowMs } = this.options;
+    const { workspace, route, routes, askedAtMs } = admitted;
+    const { quotas, metrics, nowMs } = this.options;
+    const end = await this.forwardStream(admitted, sink);
+    if (end === 'refused' && workspace !== undefined) quotas.refund(workspace, routes.version);
+    const { name } = route;
+    metrics.count('shedline_requests_total', { route: name, outcome: end });
+    metrics.recordDuration('shedline_request_milliseconds', { route: name }, nowMs() - askedAtMs);
+  }
+
+  /** Forwards a request to the software version that began its stream, if it continues one. */
+  private async forwardStream(admitted: AdmittedRequest, sink: ResponseSink): Promise<ForwardEnd> {
+    const { caller, workspace, host, route, routes, timeLeftMs, askedAtMs } = admitted;
+    const { forwarder, origins, random } = this.options;
+    const origin = await this.originOf(admitted);
+    if (origin === 'unknown') {
+      this.refuseUnknownOrigin(caller, sink);
+      return 'refused';
+    }
+    const service = origin?.service ?? chooseService(route, random());
     const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
-    const end = await forwarder.run({
+    const { requestId } = caller;
+    const attempt: StreamAttempt = { host, workspace: workspace?.name, requestId };
+    return forwarder.run({
       request: caller,
       route,
-      service: chooseService(route, random()),
+      service,
       rank: workspace?.rank ?? route.rank,
       version: routes.version,
       deadlineMs: askedAtMs + limitMs,
       arrivedAtMs: askedAtMs,
       firstAttemptAtMs: askedAtMs - this.callerAgeMs(route, timeLeftMs),
       sink,
+      ...(origin === undefined ? {} : { softwareVersion: origin.softwareVersion }),
+      onFirstEvent: (softwareVersion) => {
+        if (!route.isResumable) return;
+        origins.begun({ attempt, service, softwareVersion, timeLimitMs: route.timeLimitMs });
+      },
     });
-    if (end === 'refused' && workspace !== undefined) quotas.refund(workspace, routes.version);
-    const { name } = route;
-    metrics.count('shedline_requests_total', { route: name, outcome: end });
-    metrics.recordDuration('shedline_request_milliseconds', { route: name }, nowMs() - askedAtMs);
+  }
+
+  /** Returns where the stream began that a request continues; undefined for a new one. */
+  private async originOf({
+    caller,
+    workspace,
+    host,
+    route,
+  }: AdmittedRequest): Promise<StreamOrigin | 'unknown' | undefined> {
+    const { requestId, resumeAfterEventId, resumesRequestId } = caller;
+    if (route.kind !== 'stream' || resumeAfterEventId === undefined) return undefined;
+    const services = route.targets
+      .filter(({ weight }) => weight > 0)
+      .map((target) => target.service);
+    const attempt =
+      resumesRequestId === undefined
+        ? undefined
+        : { host, workspace: workspace?.name, requestId: resumesRequestId };
+    const verdict = await this.options.origins.find({ requestId, attempt, services });
+    // A stream of a service that the route no longer uses cannot continue.
+    if (!verdict.isKnown || !services.includes(verdict.origin.service)) return 'unknown';
+    return verdict.origin;
+  }
+
+  private refuseUnknownOrigin({ requestId }: CallerRequest, sink: ResponseSink): void {
+    this.options.logger.info('request refused', {
+      step: 'stream origin',
+      request: requestId,
+      outcome: 503,
+      retryAfterMs: UNKNOWN_ORIGIN_RETRY_MS,
+    });
+    sink.refuse(503, { retryAfterMs: UNKNOWN_ORIGIN_RETRY_MS });
   }
 
   /** Estimates the time since the caller's first attempt from the time that it still waits. */
--- /dev/null
+++ b/packages/stream-origins/src/origin-records.ts
@@ -0,0 +1,69 @@
+import type { OriginRecord, StreamOrigin } from './messages.js';
+
+/** About 200 bytes each. */
+const DEFAULT_MAX_RECORDS = 50_000;
+
+interface HeldOrigin {
+  readonly origin: StreamOrigin;
+  readonly begunAtMs: number;
+  readonly keepMs: number;
+}
+
+/** Options of {@link OriginRecords}. */
+export interface OriginRecordsOptions {
+  /** Number of records above which the oldest are removed. */
+  readonly maxRecords?: number;
+}
+
+/** Origins of streams that may still be continued, by key. */
+export class OriginRecords {
+  private readonly maxRecords: number;
+  /** In the order in which they were recorded. */
+  private readonly held = new Map<string, HeldOrigin>();
+
+  constructor({ maxRecords = DEFAULT_MAX_RECORDS }: OriginRecordsOptions = {}) {
+    this.maxRecords = maxRecords;
+  }
+
+  /** Number of records. */
+  get size(): number {
+    return this.held.size;
+  }
+
+  /** Records a stream whose first event was `ageMs` ago, unless it is recorded already. */
+  record({ key, service, softwareVersion, ageMs, keepMs }: OriginRecord, nowMs: number): void {
+    if (this.held.has(key)) return;
+    const origin = { service, softwareVersion };
+    this.held.set(key, { origin, begunAtMs: nowMs - ageMs, keepMs });
+    this.removeOldest(nowMs);
+  }
+
+  /** Returns the origin of a stream; undefined if it is not recorded. */
+  find(key: string, nowMs: number): StreamOrigin | undefined {
+    const known = this.held.get(key);
+    return known === undefined || isExpired(known, nowMs) ? undefined : known.origin;
+  }
+
+  /** Returns the records of these services, to be sent to another process. */
+  ofServices(services: ReadonlySet<string>, nowMs: number): OriginRecord[] {
+    return [...this.held]
+      .filter(([, held]) => services.has(held.origin.service) && !isExpired(held, nowMs))
+      .map(([key, { origin, begunAtMs, keepMs }]) => ({
+        key,
+        ...origin,
+        ageMs: nowMs - begunAtMs,
+        keepMs,
+      }));
+  }
+
+  private removeOldest(nowMs: number): void {
+    for (const [key, held] of this.held) {
+      if (this.held.size <= this.maxRecords && !isExpired(held, nowMs)) return;
+      this.held.delete(key);
+    }
+  }
+}
+
+function isExpired({ begunAtMs, keepMs }: HeldOrigin, nowMs: number): boolean {
+  return nowMs - begunAtMs > keepMs;
+}
