Continue an item only at the software version that wrote its progress

Cause: the progress that stores hand to any entry did not say what wrote it. An item prefers free endpoints of that version; at others it starts again, and the log says how many events are dropped. Progress of earlier builds names nothing and is not continued. Two tests that compare stored progress now expect the added field.

--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -10,6 +10,7 @@
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting, StartRate } from '@shedline/routing';
 import type { ReportableLoad, SlotCandidate } from '@shedline/routing';
+import type { StreamOrigin } from '@shedline/stream-origins';
 import type { Announcement, ChoiceOptions } from '@shedline/types';
 
 /** Heartbeat intervals after which the lease of an endpoint expires. */
@@ -240,6 +241,12 @@
     return this.softwareVersions.get(endpointId) ?? '';
   }
 
+  /** Returns what writes the events of an endpoint. */
+  originOf(endpointId: string): StreamOrigin {
+    const service = this.serviceOf(endpointId) ?? '';
+    return { service, softwareVersion: this.softwareVersionOf(endpointId) };
+  }
+
   /** Returns the service of an endpoint; undefined if the endpoint is unknown. */
   serviceOf(endpointId: string): string | undefined {
     return this.directory.get(endpointId)?.announcement.services[0];
--- a/packages/gateway/src/item-placement.test.ts
+++ b/packages/gateway/src/item-placement.test.ts
@@ -11,6 +11,8 @@
 import { aloneCapacity, placeItems } from './item-placement.js';
 import type { PlacementTarget } from './item-placement.js';
 
+const ORIGIN = { service: 's', softwareVersion: 'v1' };
+const NEWER = { ...ORIGIN, softwareVersion: 'v2' };
 const ENTRIES = 2;
 const ENDPOINTS_PER_ENTRY = 2;
 const SLOTS = 3;
@@ -118,6 +120,7 @@
         endpointId: String(endpoint),
         free: SLOTS - running,
         running,
+        origin: ORIGIN,
       }));
     const mayReserve = !owned.some((endpoint) => this.reserved.has(endpoint));
     const request: ItemRequest = {
@@ -244,8 +247,8 @@
 });
 
 describe('placement of granted items', () => {
-  const vacant = { endpointId: 'vacant', free: 4, running: 0 };
-  const busy = { endpointId: 'busy', free: 1, running: 3 };
+  const vacant = { endpointId: 'vacant', free: 4, running: 0, origin: ORIGIN };
+  const busy = { endpointId: 'busy', free: 1, running: 3, origin: ORIGIN };
   const suspected = { name: 'suspected', mustRunAlone: true };
   const other = { name: 'other', mustRunAlone: false };
 
@@ -258,6 +261,20 @@
     t.deepEqual(unplaced, [other]);
   });
 
+  test(title('an item with progress prefers the software version that wrote it'), (t) => {
+    const newer = { ...vacant, endpointId: 'newer', free: 2, origin: NEWER };
+    const progress = { pieces: ['a'], lastEventId: '1' };
+    const begun = { name: 'begun', progress: { ...progress, origin: ORIGIN } };
+    const unstated = { name: 'unstated', progress };
+    const { starts, unplaced } = placeItems([unstated, begun, begun, other], [newer, busy], true);
+    t.deepEqual(starts, [
+      { item: begun, endpointId: 'busy' },
+      { item: unstated, endpointId: 'newer' },
+      { item: begun, endpointId: 'newer' },
+    ]);
+    t.deepEqual(unplaced, [other]);
+  });
+
   test(title('without a vacant endpoint one endpoint is reserved at a time'), (t) => {
     t.is(aloneCapacity([busy], true), 1);
     t.is(aloneCapacity([busy], false), 0);
--- a/packages/gateway/src/item-placement.ts
+++ b/packages/gateway/src/item-placement.ts
@@ -1,7 +1,11 @@
 /**
  * Decides at which endpoints granted items start. An item that is suspected of crashing endpoints
- * runs alone: if its endpoint crashes, no other item is blamed, and no other item is the cause.
+ * runs alone: if its endpoint crashes, no other item is blamed, and no other item is the cause. An item
+ * with progress prefers endpoints of the software version that wrote it, as it starts again at others.
  */
+import { isSameOrigin } from '@shedline/stream-origins';
+import type { StreamOrigin } from '@shedline/stream-origins';
+import type { ItemProgress } from '@shedline/whole-jobs';
 
 /** An endpoint at which items may start. */
 export interface PlacementTarget {
@@ -10,11 +14,14 @@
   readonly free: number;
   /** Number of items that run there, for any entry. */
   readonly running: number;
+  /** What writes the events of its items. */
+  readonly origin: StreamOrigin;
 }
 
 /** Properties of a granted item that decide its placement. */
 export interface PlaceableItem {
   readonly mustRunAlone?: boolean;
+  readonly progress?: ItemProgress;
 }
 
 /** An item and its endpoint. */
@@ -61,9 +68,37 @@
     open.shift();
     (isVacant ? starts : reservations).push({ item, endpointId: target.endpointId });
   }
+  const slots = new FreeSlots(targets.filter((target) => open.includes(target)));
   const others = items.filter(({ mustRunAlone }) => mustRunAlone !== true);
-  for (const { endpointId, free } of targets.filter((target) => open.includes(target))) {
-    for (const item of others.splice(0, free)) starts.push({ item, endpointId });
+  const place = (item: T, origin?: StreamOrigin): boolean => {
+    const endpointId = slots.take(origin);
+    if (endpointId !== undefined) starts.push({ item, endpointId });
+    return endpointId !== undefined;
+  };
+  const notContinued = others.filter((item) => {
+    const origin = item.progress?.origin;
+    return origin === undefined || !place(item, origin);
+  });
+  unplaced.push(...notContinued.filter((item) => !place(item)));
+  return { starts, reservations, unplaced };
+}
+
+/** The free slots of some endpoints. */
+class FreeSlots {
+  private readonly slots: { readonly target: PlacementTarget; free: number }[];
+
+  constructor(targets: readonly PlacementTarget[]) {
+    this.slots = targets.map((target) => ({ target, free: target.free }));
+  }
+
+  /** Takes a slot, of an origin if given; returns its endpoint, undefined if there is none. */
+  take(origin?: StreamOrigin): string | undefined {
+    const slot = this.slots.find(
+      ({ target, free }) =>
+        free > 0 && (origin === undefined || isSameOrigin(target.origin, origin)),
+    );
+    if (slot === undefined) return undefined;
+    slot.free -= 1;
+    return slot.target.endpointId;
   }
-  return { starts, reservations, unplaced: [...unplaced, ...others] };
 }
--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -1,13 +1,17 @@
 import test from 'ava';
 import type { EndpointProtocol, SendReceiver, StreamEvent } from '@shedline/forwarding';
 import { describe, title } from '@shedline/test-utils';
+import type { ItemProgress } from '@shedline/whole-jobs';
 import { ItemRun } from './item-run.js';
 
 const PROTOCOL = { sendHeaders: () => [] } as unknown as EndpointProtocol;
 
+const ORIGIN = { service: 's', softwareVersion: 'v1' };
+
 /** A run whose events are passed in by the test. */
-function startRun() {
+function startRun(progress?: ItemProgress) {
   let receiver: SendReceiver | undefined;
+  let resumeAfterEventId: string | undefined;
   const run = new ItemRun({
     runNumber: 1,
     group: 1,
@@ -16,11 +20,12 @@
       index: 0,
       host: 'h',
       mustRunAlone: true,
+      progress,
       item: { itemId: 'item', path: '/', headers: [], body: '' },
     } as unknown as ConstructorParameters<typeof ItemRun>[0]['granted'],
     endpointId: 'e',
     address: 'a:1',
-    softwareVersion: 'v1',
+    origin: ORIGIN,
     sender: {
       send: (_send, given) => {
         receiver = given;
@@ -31,14 +36,20 @@
         };
       },
     },
-    protocol: PROTOCOL,
+    protocol: {
+      ...PROTOCOL,
+      sendHeaders: (_request, terms) => {
+        ({ resumeAfterEventId } = terms);
+        return [];
+      },
+    },
     nowMs: () => 0,
   });
   const receive = (id: string): void => {
     const event: StreamEvent = { id, bytes: Buffer.from(`id: ${id}\ndata: text ${id}\n\n`) };
     receiver?.onPart(event.bytes, event);
   };
-  return { run, receive };
+  return { run, receive, resumeAfterEventId };
 }
 
 describe('ItemRun', () => {
@@ -49,8 +60,9 @@
     const progress = run.progress;
     run.stop();
     receive('2');
-    t.deepEqual(progress, { pieces: ['text 1'], lastEventId: '1' });
-    t.deepEqual(run.progress, { pieces: ['text 1', 'text 2'], lastEventId: '2' });
+    t.deepEqual(progress, { pieces: ['text 1'], lastEventId: '1', origin: ORIGIN });
+    const pieces = ['text 1', 'text 2'];
+    t.deepEqual(run.progress, { pieces, lastEventId: '2', origin: ORIGIN });
   });
 
   // Guards against an endpoint that stays closed to other items while a harmless item completes.
@@ -61,4 +73,33 @@
     receive('17');
     t.false(run.needsEndpointAlone);
   });
+
+  describe('with progress of earlier runs', () => {
+    const progress = { pieces: ['text 1'], lastEventId: '1' };
+
+    test(title('continues if an endpoint of the same software version wrote it'), (t) => {
+      const { run, receive, resumeAfterEventId } = startRun({ ...progress, origin: ORIGIN });
+      receive('2');
+      t.is(resumeAfterEventId, '1');
+      t.is(run.text, 'text 1\ntext 2');
+      t.deepEqual([run.isFromStart, run.droppedEvents], [false, 0]);
+    });
+
+    // An earlier version of shedline stored progress without what wrote it.
+    const others = {
+      'another software version': { ...ORIGIN, softwareVersion: 'v2' },
+      'another service': { ...ORIGIN, service: 'other' },
+      'an unknown endpoint': undefined,
+    };
+    for (const [writer, origin] of Object.entries(others)) {
+      test(title(`starts again if ${writer} wrote it`), (t) => {
+        const given = origin === undefined ? progress : { ...progress, origin };
+        const { run, receive, resumeAfterEventId } = startRun(given);
+        receive('1');
+        t.is(resumeAfterEventId, undefined);
+        t.is(run.text, 'text 1');
+        t.deepEqual([run.isFromStart, run.droppedEvents], [true, 1]);
+      });
+    }
+  });
 });
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -10,6 +10,8 @@
   RunningSend,
   SendResult,
 } from '@shedline/forwarding';
+import { isSameOrigin } from '@shedline/stream-origins';
+import type { StreamOrigin } from '@shedline/stream-origins';
 import { MIN_PROGRESS_EVENTS } from '@shedline/whole-jobs';
 import type { ItemProgress, ItemRef } from '@shedline/whole-jobs';
 
@@ -28,8 +30,8 @@
   readonly endpointId: string;
   /** `host:port`. */
   readonly address: string;
-  /** Version of the endpoint's software; empty if it states none. */
-  readonly softwareVersion: string;
+  /** Service and software version of the endpoint. */
+  readonly origin: StreamOrigin;
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly nowMs: () => number;
@@ -37,7 +39,7 @@
   readonly onFirstEvent?: () => void;
 }
 
-/** A running item; resumes from the progress of previous runs. */
+/** A running item; resumes from the progress of previous runs if the same software version wrote it. */
 export class ItemRun {
   readonly runNumber: number;
   readonly group: number;
@@ -45,11 +47,13 @@
   readonly granted: GrantedItem;
   readonly endpointId: string;
   readonly address: string;
-  readonly softwareVersion: string;
+  readonly origin: StreamOrigin;
   readonly startedAtMs: number;
   readonly result: Promise<SendResult>;
   /** Whether this run started from the beginning, not from the progress of previous runs. */
   readonly isFromStart: boolean;
+  /** Number of events of previous runs from which this run continued. */
+  readonly resumedAfterEvents: number;
   private readonly sending: RunningSend;
   private readonly pieces: string[];
   private lastEventId: string | undefined;
@@ -64,12 +68,14 @@
     this.granted = granted;
     this.endpointId = endpointId;
     this.address = address;
-    this.softwareVersion = options.softwareVersion;
+    this.origin = options.origin;
     this.ref = { jobId: granted.jobId, index: granted.index };
     this.startedAtMs = options.nowMs();
-    this.isFromStart = granted.progress === undefined;
-    this.pieces = [...(granted.progress?.pieces ?? [])];
-    this.lastEventId = granted.progress?.lastEventId;
+    const progress = continuableProgress(granted, options.origin);
+    this.isFromStart = progress === undefined;
+    this.pieces = [...(progress?.pieces ?? [])];
+    this.resumedAfterEvents = this.pieces.length;
+    this.lastEventId = progress?.lastEventId;
     const request = callerRequestOf(granted);
     const terms = { endpointId, timeLeftMs: undefined, resumeAfterEventId: this.lastEventId };
     this.sending = sender.send(
@@ -99,6 +105,11 @@
     this.result = this.sending.result;
   }
 
+  /** Number of events of previous runs that another software version wrote; they are not used. */
+  get droppedEvents(): number {
+    return this.isFromStart ? (this.granted.progress?.pieces.length ?? 0) : 0;
+  }
+
   /** Number of events received, including previous runs. */
   get eventCount(): number {
     return this.pieces.length;
@@ -114,8 +125,10 @@
    * arrive later do not change it: they would stand twice in the text of the next run.
    */
   get progress(): ItemProgress | undefined {
-    const { lastEventId } = this;
-    return lastEventId === undefined ? undefined : { pieces: [...this.pieces], lastEventId };
+    const { lastEventId, origin } = this;
+    return lastEventId === undefined
+      ? undefined
+      : { pieces: [...this.pieces], lastEventId, origin };
   }
 
   /** Whether the run was stopped; its result follows once what has arrived is read. */
@@ -138,7 +151,7 @@
    * before it has progressed, so the endpoint is left to others as soon as it has.
    */
   get needsEndpointAlone(): boolean {
-    const progressEvents = this.pieces.length - (this.granted.progress?.pieces.length ?? 0);
+    const progressEvents = this.pieces.length - this.resumedAfterEvents;
     return this.granted.mustRunAlone === true && progressEvents <= MIN_PROGRESS_EVENTS;
   }
 
@@ -154,6 +167,15 @@
   }
 }
 
+/** Returns the progress of previous runs if an endpoint of this origin may continue it. */
+function continuableProgress(
+  { progress }: GrantedItem,
+  origin: StreamOrigin,
+): ItemProgress | undefined {
+  const isContinuable = progress?.origin !== undefined && isSameOrigin(progress.origin, origin);
+  return isContinuable ? progress : undefined;
+}
+
 function callerRequestOf(granted: GrantedItem): CallerRequest {
   const { item, host, workspace } = granted;
   return {
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -301,7 +301,11 @@
       t.deepEqual(stores.returned[0], {
         jobId: 'job',
         index: 0,
-        progress: { pieces: ['a'], lastEventId: '1' },
+        progress: {
+          pieces: ['a'],
+          lastEventId: '1',
+          origin: { service: 'svc', softwareVersion: '' },
+        },
       });
     },
   );
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -211,6 +211,7 @@
         endpointId,
         free: count,
         running: batch.get(endpointId) ?? 0,
+        origin: this.options.pool.originOf(endpointId),
       }));
   }
 
@@ -309,10 +310,11 @@
     const onFirstEvent = (): void => {
       pool.noteResponseStarted(endpointId);
     };
-    const softwareVersion = pool.softwareVersionOf(endpointId);
-    const target = { endpointId, address, softwareVersion, sender, protocol, nowMs, onFirstEvent };
+    const origin = pool.originOf(endpointId);
+    const target = { endpointId, address, origin, sender, protocol, nowMs, onFirstEvent };
     const run = new ItemRun({ runNumber, group, granted, ...target });
     this.runs.set(keyOf(run.ref), run);
+    if (run.droppedEvents > 0) this.logDroppedProgress(run);
     this.noteSharing(endpointId, 0);
     pool.batchChange(endpointId, 1);
     void run.result.then((result) => {
@@ -450,6 +452,19 @@
     });
   }
 
+  private logDroppedProgress({ ref, granted, endpointId, origin, droppedEvents }: ItemRun): void {
+    this.options.logger.info('item starts again: its progress is of another software version', {
+      step: 'run item',
+      request: granted.item.itemId,
+      job: ref.jobId,
+      index: ref.index,
+      endpoint: endpointId,
+      ...origin,
+      droppedEvents,
+      progressVersion: granted.progress?.origin?.softwareVersion ?? 'unknown',
+    });
+  }
+
   private logRunEnd(run: ItemRun, result: SendResult): void {
     const outcome = result.kind === 'ended' ? result.outcome.kind : result.kind;
     const { jobId, index } = run.ref;
@@ -459,9 +474,9 @@
       job: jobId,
       index,
       endpoint: run.endpointId,
-      softwareVersion: run.softwareVersion,
+      softwareVersion: run.origin.softwareVersion,
       run: run.runNumber,
-      resumedAfterEvents: run.granted.progress?.pieces.length ?? 0,
+      resumedAfterEvents: run.resumedAfterEvents,
       outcome,
       events: run.eventCount,
       tookMs: Math.round(this.options.nowMs() - run.startedAtMs),
--- a/packages/stream-origins/src/decide-origin.ts
+++ b/packages/stream-origins/src/decide-origin.ts
@@ -1,6 +1,7 @@
 /**
  * Decides at which software version a stream began, from what several processes know.
  */
+import { isSameOrigin } from './messages.js';
 import type { OriginReply, StreamOrigin } from './messages.js';
 
 /** Why the origin of a stream is not known. */
@@ -46,11 +47,7 @@
     return { isKnown: false, reason: 'versions not observed for long enough' };
   const [first, ...others] = all.flatMap(({ versions }) => versions);
   if (first === undefined) return { isKnown: false, reason: 'no version' };
-  if (others.some((other) => !isSame(first, other)))
+  if (others.some((other) => !isSameOrigin(first, other)))
     return { isKnown: false, reason: 'several versions' };
   return { isKnown: true, origin: first, evidence: 'only version' };
 }
-
-function isSame(a: StreamOrigin, b: StreamOrigin): boolean {
-  return a.service === b.service && a.softwareVersion === b.softwareVersion;
-}
--- a/packages/stream-origins/src/messages.ts
+++ b/packages/stream-origins/src/messages.ts
@@ -16,6 +16,11 @@
   readonly softwareVersion: string;
 }
 
+/** Whether the events of two streams fit together. */
+export function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+  return a.service === b.service && a.softwareVersion === b.softwareVersion;
+}
+
 /** One attempt of a caller, as the caller names it. */
 export interface StreamAttempt {
   readonly host: string;
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -3,6 +3,8 @@
  * wall clock of the leader that proposed it. Replicas never read their own clocks.
  */
 
+import type { StreamOrigin } from '@shedline/stream-origins';
+
 interface Timestamped {
   readonly atMs: number;
 }
@@ -80,6 +82,8 @@
   /** Data of the events received so far. */
   readonly pieces: readonly string[];
   readonly lastEventId: string;
+  /** What wrote the events; omitted by earlier versions, whose progress no endpoint may continue. */
+  readonly origin?: StreamOrigin;
 }
 
 /** An item that its holder returns unfinished. */
