Continue a stream only at the incarnation that was chosen for it

Cause: the version belongs to an incarnation, but endpoints check the id alone, and an entry learns of a restart from heartbeats, tens of ms later. Change: where endpoints state their start time, the parts that continue a stream are held back until the incarnation is confirmed by a heartbeat sent after the response began, or by an earlier response that is still in progress there; items drop what is not confirmed at the end of their run.

--- a/packages/forwarding/src/endpoint-sender.ts
+++ b/packages/forwarding/src/endpoint-sender.ts
@@ -140,6 +140,15 @@
     return lost.length;
   }
 
+  /**
+   * Returns since when the process at an address is known to be the same, on the monotonic clock: since
+   * the oldest response that is still in progress there began. Infinity if there is none.
+   */
+  sameProcessSinceMs(address: string): number {
+    const sends = [...(this.inFlight.get(address) ?? [])];
+    return Math.min(...sends.map(({ openSinceMs }) => openSinceMs));
+  }
+
   private createHandler(request: Send, receiver: SendReceiver): SendHandler {
     const { protocol, isLeaving, healthPathOf, onUnframedEnd } = this.options;
     const { endpointId, address } = request;
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -17,6 +17,11 @@
   noteSendEnded(endpointId: string, result: SendResult, firstPartMs: number | undefined): void;
   /** Notes that the response to a send has begun. */
   noteResponseStarted(endpointId: string): void;
+  /**
+   * Resolves to whether an incarnation, and no later one under its id, sends the response that has just
+   * begun.
+   */
+  confirmServing(endpointId: string): Promise<boolean>;
   /** Whether a request at the endpoint may be queued there. */
   mayBeQueued(endpointId: string): boolean;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointQueue, ChosenEndpoint, QueueTicket } from './endpoint-queue.js';
 import type { RunningSend, SendResult, SilenceRule } from './endpoint-sender.js';
+import { ContinuationGate } from './continuation-gate.js';
 import { ForwardLog } from './forward-log.js';
 import type { ForwardEnd, ForwardTask, ForwarderOptions } from './forward-task.js';
 import { GuardedContent } from './guarded-content.js';
@@ -25,6 +26,12 @@
  */
 const MIN_CALLER_TIMEOUT_MS = 2000;
 
+/** Result of a continued stream whose endpoint may be another incarnation. */
+const UNCONFIRMED_RESULT = {
+  kind: 'ended',
+  outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted' },
+} as const;
+
 /** Forwards one request until it ends. */
 export class ForwardedRequest {
   private readonly options: ForwarderOptions;
@@ -230,6 +237,7 @@
     this.log.sent(endpoint, { send: this.tried.size, timeLeftMs, resumeAfterEventId });
     const sentAtMs = nowMs();
     this.firstPartMs = undefined;
+    const gate = this.createGate(endpoint, resumeAfterEventId !== undefined);
     const running = sender.send(
       {
         endpointId,
@@ -252,10 +260,7 @@
         onPart: (bytes, event) => {
           if (this.firstPartMs === undefined) this.options.chooser.noteResponseStarted(endpointId);
           this.firstPartMs ??= nowMs() - sentAtMs;
-          if (!this.hasForwarded) this.task.onFirstEvent?.(endpoint.softwareVersion);
-          this.hasForwarded = true;
-          this.softwareVersion ??= endpoint.softwareVersion;
-          return this.forwardPart(bytes, event?.id);
+          return gate.push(bytes, event);
         },
         onSilence: (isSilent) => {
           this.log.silenceChanged(endpoint, isSilent, this.hasBegun);
@@ -269,8 +274,9 @@
     const timer = setTimeout(() => {
       running.stop();
     }, timeLeftMs);
-    const result = await running.result;
+    const received = await running.result;
     clearTimeout(timer);
+    const result = await this.passThrough(gate, received);
     this.running = undefined;
     if (result.kind === 'complete') this.sendHead();
     const runMs = result.kind === 'complete' ? nowMs() - sentAtMs : undefined;
@@ -283,6 +289,29 @@
     return result;
   }
 
+  /** Returns the result of a send once the parts of its response have passed the gate. */
+  private async passThrough(gate: ContinuationGate, result: SendResult): Promise<SendResult> {
+    if (result.kind === 'complete') return (await gate.complete()) ? result : UNCONFIRMED_RESULT;
+    gate.close();
+    return gate.isRefused ? UNCONFIRMED_RESULT : result;
+  }
+
+  /** Returns what the parts of a response pass; a continued stream waits until its endpoint is confirmed. */
+  private createGate(endpoint: ChosenEndpoint, isContinued: boolean): ContinuationGate {
+    return new ContinuationGate({
+      confirm: () =>
+        isContinued ? this.options.chooser.confirmServing(endpoint.endpointId) : undefined,
+      forward: (bytes, event) => {
+        if (!this.hasForwarded) this.task.onFirstEvent?.(endpoint.softwareVersion);
+        this.hasForwarded = true;
+        this.softwareVersion ??= endpoint.softwareVersion;
+        return this.forwardPart(bytes, event?.id);
+      },
+      onOpen: () => this.running?.resume(),
+      onRefused: () => this.running?.stop(),
+    });
+  }
+
   /**
    * Returns the silence rule of the next send. An unresponsive endpoint is given up only for a
    * stream that may continue elsewhere. Other responses arrive whole
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -79,6 +79,10 @@
     return true;
   }
 
+  confirmServing(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   noteSendStarted(): void {
     this.slots -= 1;
   }
--- a/packages/forwarding/src/send-handler.ts
+++ b/packages/forwarding/src/send-handler.ts
@@ -50,6 +50,7 @@
   private controller: Dispatcher.DispatchController | undefined;
   private head: EndpointHead | undefined;
   private framer: EventFramer | undefined;
+  private firstReceivedAtMs = Infinity;
   private isForwarding = false;
   private isPaused = false;
   private readCount = 0;
@@ -94,6 +95,11 @@
     return this.request.endpointId === endpointId;
   }
 
+  /** Since when the connection is known to be open; Infinity if it is not known or has ended. */
+  get openSinceMs(): number {
+    return this.hasEnded || this.isStopped ? Infinity : this.firstReceivedAtMs;
+  }
+
   /** Whether a response is in progress. */
   get isResponding(): boolean {
     return this.isForwarding && !this.hasEnded && !this.isStopped;
@@ -230,6 +236,7 @@
 
   private noteReceived(): void {
     this.lastReceivedAtMs = performance.now();
+    this.firstReceivedAtMs = Math.min(this.firstReceivedAtMs, this.lastReceivedAtMs);
     this.readCount += 1;
     this.watchdog?.reset();
     if (!this.isReportedSilent) return;
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -119,6 +119,10 @@
     return true;
   }
 
+  confirmServing(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   noteSendStarted(): void {
     this.inFlight += 1;
   }
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { runIdOf } from '@shedline/fleet';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
@@ -36,6 +37,8 @@
 class Setup {
   nowMs = 10_000;
   readonly pool: EndpointPool;
+  /** Since when a response from each endpoint has been in progress. */
+  sameProcessSinceMs = Infinity;
   readonly timeouts: string[] = [];
   readonly replaced: string[] = [];
   private sequence = 0;
@@ -51,6 +54,7 @@
       inSubset: () => IN_SUBSET,
       userCount: () => USERS,
       entryCount: () => 1,
+      sameProcessSinceMs: () => this.sameProcessSinceMs,
       onLoadChange: () => undefined,
       onSlotWanted: () => undefined,
       onRunReplaced: (_endpointId, address) => this.replaced.push(address),
@@ -148,6 +152,53 @@
   });
 });
 
+describe('confirmation of an incarnation', () => {
+  const ID = 'a';
+  const RUN = `${ID}#1`;
+
+  // An endpoint may have restarted under its id, at another software version, a moment ago.
+  test(title('waits for a heartbeat sent after the response began'), async (t) => {
+    const setup = new Setup();
+    setup.observeRun(ID, 1, 1);
+    setup.nowMs += 100;
+    const confirmed = setup.pool.confirmServing(RUN);
+    await pause(0);
+    setup.pool.observeHeartbeats([
+      { ...heartbeatOf({ endpointId: ID, startedAtMs: 1, sequence: 2 }), ageMs: 50 },
+    ]);
+    setup.nowMs += 100;
+    setup.observeRun(ID, 1, 3);
+    t.true(await confirmed);
+  });
+
+  test(title('takes an earlier response that is still in progress as proof'), async (t) => {
+    const setup = new Setup();
+    setup.sameProcessSinceMs = setup.nowMs;
+    setup.nowMs += 100;
+    setup.observeRun(ID, 1, 1);
+    setup.nowMs += 100;
+    t.true(await setup.pool.confirmServing(RUN));
+  });
+
+  test(title('fails once a later incarnation is known'), async (t) => {
+    const setup = new Setup();
+    setup.observeRun(ID, 1, 1);
+    setup.nowMs += 100;
+    const confirmed = setup.pool.confirmServing(RUN);
+    await pause(0);
+    setup.observeRun(ID, 2, 1);
+    t.false(await confirmed);
+    t.false(await setup.pool.confirmServing(RUN));
+  });
+
+  test(title('is not needed if ids are not used again'), async (t) => {
+    const setup = new Setup();
+    setup.observe(ID);
+    setup.nowMs += 100;
+    t.true(await setup.pool.confirmServing(ID));
+  });
+});
+
 describe('endpoints outside the subset', () => {
   /**
    * Entries do not know the load of endpoints outside their subset. When they assumed none and
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -2,19 +2,26 @@
  * The endpoints known to an entry: which of them may take work, and their load. Each incarnation of
  * an endpoint is tracked as a separate endpoint, under its run id.
  */
+import { setImmediate } from 'node:timers/promises';
 import type { WaitingCapacity } from '@shedline/admission';
 import { EndpointDirectory, LeaseClock } from '@shedline/directory';
 import type { KnownEndpoint, ZonedName } from '@shedline/directory';
-import { runIdOf } from '@shedline/fleet';
+import { UNKNOWN_START_MS, endpointIdOf, runIdOf } from '@shedline/fleet';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting, StartRate } from '@shedline/routing';
 import type { ReportableLoad, SlotCandidate } from '@shedline/routing';
 import type { StreamOrigin } from '@shedline/stream-origins';
 import type { Announcement, ChoiceOptions } from '@shedline/types';
+import { RunConfirmations } from './run-confirmations.js';
 
 /** Heartbeat intervals after which the lease of an endpoint expires. */
 const MISSED_HEARTBEATS = 3;
+/**
+ * Heartbeat intervals within which an incarnation that still serves is heard of: control processes and
+ * entries pass heartbeats on in intervals of their own.
+ */
+const HEARTBEATS_TO_CONFIRM = 1.5;
 /** Consecutive failures that eject an endpoint; a failed connection attempt ejects it at once. */
 const FAILURES_BEFORE_EJECTION = 2;
 /**
@@ -73,6 +80,8 @@
   readonly userCount: (endpointId: string) => number;
   /** Number of entries that serve, including this one. */
   readonly entryCount: () => number;
+  /** Returns since when the process at an address is known to be the same; Infinity if it is not. */
+  readonly sameProcessSinceMs: (address: string) => number;
   /** Called when this entry's own load at an endpoint changes. */
   readonly onLoadChange: (endpointId: string) => void;
   /**
@@ -101,6 +110,7 @@
   /** Rate at which this entry starts requests and items at all endpoints. */
   private readonly startRate = new StartRate();
   private readonly routing: SlotRouting;
+  private readonly runConfirmations: RunConfirmations;
   private readonly addresses = new Map<string, string>();
   /** Software versions of the incarnations that state one. */
   private readonly softwareVersions = new Map<string, string>();
@@ -118,6 +128,9 @@
       leaseClock: this.leaseClock,
     });
     this.routing = new SlotRouting({ random: options.random });
+    this.runConfirmations = new RunConfirmations({
+      maxWaitMs: options.heartbeatMs * HEARTBEATS_TO_CONFIRM,
+    });
   }
 
   /** Applies heartbeats relayed by a control process; returns whether an incarnation is new. */
@@ -132,6 +145,7 @@
       const isLeaving = this.options.isLeaving(runId);
       this.directory.observe(announcementOf(heartbeat, isLeaving), ageMs, nowMs);
       this.addresses.set(runId, heartbeat.address);
+      this.runConfirmations.heard(runId, nowMs - ageMs);
       const { softwareVersion } = heartbeat;
       if (softwareVersion !== undefined) this.softwareVersions.set(runId, softwareVersion);
     }
@@ -161,6 +175,7 @@
     this.directory.remove(runId);
     this.addresses.delete(runId);
     this.softwareVersions.delete(runId);
+    this.runConfirmations.ended(runId);
     this.loads.remove(runId);
   }
 
@@ -194,6 +209,7 @@
     for (const runId of this.softwareVersions.keys()) {
       if (this.directory.get(runId) === undefined) this.softwareVersions.delete(runId);
     }
+    this.runConfirmations.keepOnly(liveIds);
     // Other entries also report loads of incarnations that are unknown or already removed here.
     this.loads.removeAllExcept(liveIds);
     for (const [endpointId, heartbeat] of this.latestHeartbeats) {
@@ -344,6 +360,16 @@
     else this.directory.failed(endpointId, nowMs);
   }
 
+  async confirmServing(endpointId: string): Promise<boolean> {
+    // The ends of the connections of a process that has ended are read before the next check.
+    await setImmediate();
+    const known = this.latestHeartbeats.get(endpointIdOf(endpointId));
+    if (known === undefined || runIdOf(known) !== endpointId) return false;
+    if (known.startedAtMs === UNKNOWN_START_MS) return true;
+    const sinceMs = this.options.sameProcessSinceMs(known.address);
+    return this.runConfirmations.wait(endpointId, Math.min(sinceMs, this.options.nowMs()));
+  }
+
   mayBeQueued(endpointId: string): boolean {
     const known = this.directory.get(endpointId);
     if (known === undefined) return false;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -416,6 +416,7 @@
       inSubset: () => this.subsetTracker.endpoints,
       userCount: (endpointId) => this.subsetTracker.usersOf(endpointId).length,
       entryCount: () => this.subsetTracker.entryCount,
+      sameProcessSinceMs: (address) => this.sender.sameProcessSinceMs(address),
       onLoadChange: (endpointId) => {
         this.loadReporter.markChanged(endpointId);
       },
--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -9,9 +9,10 @@
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
 
 /** A run whose events are passed in by the test. */
-function startRun(progress?: ItemProgress) {
+function startRun(progress?: ItemProgress, isConfirmed = true) {
   let receiver: SendReceiver | undefined;
   let resumeAfterEventId: string | undefined;
+  let complete: () => void = () => undefined;
   const run = new ItemRun({
     runNumber: 1,
     group: 1,
@@ -30,7 +31,11 @@
       send: (_send, given) => {
         receiver = given;
         return {
-          result: new Promise(() => undefined),
+          result: new Promise((resolve) => {
+            complete = () => {
+              resolve({ kind: 'complete' });
+            };
+          }),
           stop: () => undefined,
           resume: () => undefined,
         };
@@ -44,12 +49,13 @@
       },
     },
     nowMs: () => 0,
+    confirmServing: () => Promise.resolve(isConfirmed),
   });
   const receive = (id: string): void => {
     const event: StreamEvent = { id, bytes: Buffer.from(`id: ${id}\ndata: text ${id}\n\n`) };
     receiver?.onPart(event.bytes, event);
   };
-  return { run, receive, resumeAfterEventId };
+  return { run, receive, resumeAfterEventId, complete };
 }
 
 describe('ItemRun', () => {
@@ -85,6 +91,14 @@
       t.deepEqual([run.isFromStart, run.droppedEvents], [false, 0]);
     });
 
+    test(title('drops what a later incarnation may have written'), async (t) => {
+      const { run, receive, complete } = startRun({ ...progress, origin: ORIGIN }, false);
+      receive('2');
+      complete();
+      t.like(await run.result, { kind: 'ended' });
+      t.deepEqual(run.progress, { ...progress, origin: ORIGIN });
+    });
+
     // An earlier version of shedline stored progress without what wrote it.
     const others = {
       'another software version': { ...ORIGIN, softwareVersion: 'v2' },
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -35,6 +35,8 @@
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly nowMs: () => number;
+  /** See `EndpointChooser.confirmServing`. */
+  readonly confirmServing: (endpointId: string) => Promise<boolean>;
   /** Called once, with the first part of the response. */
   readonly onFirstEvent?: () => void;
 }
@@ -58,6 +60,8 @@
   private readonly pieces: string[];
   private lastEventId: string | undefined;
   private hasReceivedPart = false;
+  /** Whether the incarnation that continues earlier runs is the one that was chosen. */
+  private confirmation: Promise<boolean> | undefined;
   private hasBeenStopped = false;
   private hasBeenShared = false;
 
@@ -96,13 +100,25 @@
         onPart: (bytes, event) => {
           if (!this.hasReceivedPart) options.onFirstEvent?.();
           this.hasReceivedPart = true;
+          if (!this.isFromStart) this.confirmation ??= options.confirmServing(endpointId);
           this.pieces.push(event === undefined ? bytes.toString('utf8') : dataOf(event));
           if (event?.id !== undefined) this.lastEventId = event.id;
           return true;
         },
       },
     );
-    this.result = this.sending.result;
+    this.result = this.sending.result.then((result) => this.confirmed(result));
+  }
+
+  /** Drops the events of this run if they may be those of a later incarnation of its endpoint. */
+  private async confirmed(result: SendResult): Promise<SendResult> {
+    if (this.confirmation === undefined || (await this.confirmation)) return result;
+    this.pieces.length = this.resumedAfterEvents;
+    this.lastEventId = this.granted.progress?.lastEventId;
+    return {
+      kind: 'ended',
+      outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted' },
+    };
   }
 
   /** Number of events of previous runs that another software version wrote; they are not used. */
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -217,6 +217,7 @@
     inSubset: () => new Set(['e1']),
     userCount: () => 1,
     entryCount: () => 1,
+    sameProcessSinceMs: () => Infinity,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
     onTimeout: () => undefined,
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -312,7 +312,8 @@
     };
     const origin = pool.originOf(endpointId);
     const target = { endpointId, address, origin, sender, protocol, nowMs, onFirstEvent };
-    const run = new ItemRun({ runNumber, group, granted, ...target });
+    const confirmServing = (runId: string): Promise<boolean> => pool.confirmServing(runId);
+    const run = new ItemRun({ runNumber, group, granted, ...target, confirmServing });
     this.runs.set(keyOf(run.ref), run);
     if (run.droppedEvents > 0) this.logDroppedProgress(run);
     this.noteSharing(endpointId, 0);
--- a/packages/gateway/src/overload.test.ts
+++ b/packages/gateway/src/overload.test.ts
@@ -332,6 +332,7 @@
       inSubset: () => inSubset,
       userCount: (endpointId) => this.subsets.entriesOf(endpointId).length,
       entryCount: () => this.entryNames.length,
+      sameProcessSinceMs: () => Infinity,
       onLoadChange: (endpointId) => {
         reporter.markChanged(endpointId);
       },
