Doubt the version of a stream whose endpoint restarted before its entry knew

Cause: the stream was recorded with the version of the previous incarnation. Change: when an endpoint restarts as another version, streams that seemed to begin there since its last heartbeat are withdrawn, at the entry and at control processes, and not continued; items return no such progress.

--- a/packages/fleet-control/src/control-process.ts
+++ b/packages/fleet-control/src/control-process.ts
@@ -106,7 +106,7 @@
     });
     this.stores = this.core.createPeerConnections();
     this.registry = new EndpointRegistry(this.core.epoch);
-    this.origins = new OriginRegistry({ nowMs: this.nowMs });
+    this.origins = new OriginRegistry({ endpoints: this.registry, nowMs: this.nowMs });
     this.heartbeatBatcher = this.createHeartbeatBatcher();
     this.savedEndpoints = this.createSavedEndpoints();
     this.stateMachine = new FleetStateMachine(() => {
@@ -481,6 +481,7 @@
     if (this.groups?.onMessage(method, payload, link) === true) return;
     if (method === 'quotaUse') this.recordUsage(payload as UsageReport[], link);
     if (method === 'streamOrigins') this.origins.record(payload as OriginRecord[]);
+    if (method === 'streamOriginsInDoubt') this.origins.remove(payload as string[]);
     if (method !== 'heartbeats') return;
     for (const { heartbeat, ageMs } of payload as AgedHeartbeat[]) {
       this.origins.observe(heartbeat, ageMs);
--- a/packages/fleet/src/endpoint-run.ts
+++ b/packages/fleet/src/endpoint-run.ts
@@ -26,6 +26,14 @@
   return isBareId ? endpointId : `${endpointId}${SEPARATOR}${startedAtMs}`;
 }
 
+/** Returns the incarnation of a key. */
+export function runOf(runId: string): EndpointRun {
+  const endpointId = endpointIdOf(runId);
+  const hasStart = endpointId.length < runId.length;
+  const startedAtMs = hasStart ? Number(runId.slice(endpointId.length + 1)) : UNKNOWN_START_MS;
+  return { endpointId, startedAtMs };
+}
+
 /** Returns the endpoint id of an incarnation key. */
 export function endpointIdOf(runId: string): string {
   const end = runId.lastIndexOf(SEPARATOR);
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -4,7 +4,7 @@
 import type { Route } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
 import type { ContentGuard } from './content-guard.js';
-import type { EndpointFinder } from './endpoint-queue.js';
+import type { ChosenEndpoint, EndpointFinder } from './endpoint-queue.js';
 import type { RequestSender, SendResult } from './endpoint-sender.js';
 import type { CallerRequest, EndpointProtocol, RawHeaders } from './protocol.js';
 
@@ -22,6 +22,11 @@
    * begun.
    */
   confirmServing(endpointId: string): Promise<boolean>;
+  /**
+   * Whether an incarnation, and no later one of another software version, wrote what it sent at `atMs`, as
+   * far as is known.
+   */
+  isWriterCertain(endpointId: string, atMs: number): boolean;
   /** Whether a request at the endpoint may be queued there. */
   mayBeQueued(endpointId: string): boolean;
 }
@@ -80,6 +85,8 @@
   readonly sink: ResponseSink;
   /** Software version that began the stream which the caller resumes; undefined for a new one. */
   readonly softwareVersion?: string;
-  /** Called before the first event is passed on, with the software version that wrote it. */
-  readonly onFirstEvent?: (softwareVersion: string) => void;
+  /** Whether `softwareVersion` is still certain to have begun the stream. */
+  readonly isOriginCertain?: () => boolean;
+  /** Called before the first event is passed on, with the endpoint that wrote it. */
+  readonly onFirstEvent?: (endpoint: ChosenEndpoint) => void;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -46,8 +46,8 @@
   private ticket: QueueTicket | undefined;
   private waitedMs = 0;
   private isHeadSent = false;
-  /** Whether the caller has got a part of the response. */
-  private hasForwarded = false;
+  /** What wrote the first part of the response, and when. */
+  private beginning: { readonly endpointId: string; readonly atMs: number } | undefined;
   /** Software version whose events the caller has; only endpoints of it may continue the stream. */
   private softwareVersion: string | undefined;
   private running: RunningSend | undefined;
@@ -87,7 +87,7 @@
     let step = this.content.needsAdmission ? await this.firstStep() : this.plan.first();
     while (step.action === 'send') {
       if (this.hasCallerLeft()) return this.close('callerGone');
-      const endpoint = await this.findEndpoint();
+      const endpoint = this.isWriterCertain ? await this.findEndpoint() : undefined;
       if (this.hasCallerLeft()) {
         if (endpoint !== undefined) this.releaseSlot(endpoint.endpointId, { kind: 'stopped' });
         return this.close('callerGone');
@@ -289,6 +289,22 @@
     return result;
   }
 
+  /** Notes what wrote the first part, before that is passed on. */
+  private begin(endpoint: ChosenEndpoint): void {
+    if (this.beginning !== undefined) return;
+    this.beginning = { endpointId: endpoint.endpointId, atMs: this.options.nowMs() };
+    this.task.onFirstEvent?.(endpoint);
+    this.softwareVersion ??= endpoint.softwareVersion;
+  }
+
+  /** Whether it is known which software version wrote what the caller has. */
+  private get isWriterCertain(): boolean {
+    const { beginning } = this;
+    if (this.task.isOriginCertain?.() === false) return false;
+    if (beginning === undefined) return true;
+    return this.options.chooser.isWriterCertain(beginning.endpointId, beginning.atMs);
+  }
+
   /** Returns the result of a send once the parts of its response have passed the gate. */
   private async passThrough(gate: ContinuationGate, result: SendResult): Promise<SendResult> {
     if (result.kind === 'complete') return (await gate.complete()) ? result : UNCONFIRMED_RESULT;
@@ -302,9 +318,7 @@
       confirm: () =>
         isContinued ? this.options.chooser.confirmServing(endpoint.endpointId) : undefined,
       forward: (bytes, event) => {
-        if (!this.hasForwarded) this.task.onFirstEvent?.(endpoint.softwareVersion);
-        this.hasForwarded = true;
-        this.softwareVersion ??= endpoint.softwareVersion;
+        this.begin(endpoint);
         return this.forwardPart(bytes, event?.id);
       },
       onOpen: () => this.running?.resume(),
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -83,6 +83,10 @@
     return Promise.resolve(true);
   }
 
+  isWriterCertain(): boolean {
+    return true;
+  }
+
   noteSendStarted(): void {
     this.slots -= 1;
   }
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -123,6 +123,10 @@
     return Promise.resolve(true);
   }
 
+  isWriterCertain(): boolean {
+    return true;
+  }
+
   noteSendStarted(): void {
     this.inFlight += 1;
   }
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -39,6 +39,7 @@
   readonly pool: EndpointPool;
   /** Since when a response from each endpoint has been in progress. */
   sameProcessSinceMs = Infinity;
+  readonly inDoubt: [string, number][] = [];
   readonly timeouts: string[] = [];
   readonly replaced: string[] = [];
   private sequence = 0;
@@ -55,6 +56,7 @@
       userCount: () => USERS,
       entryCount: () => 1,
       sameProcessSinceMs: () => this.sameProcessSinceMs,
+      onWriterInDoubt: (endpointId, sinceMs) => this.inDoubt.push([endpointId, sinceMs]),
       onLoadChange: () => undefined,
       onSlotWanted: () => undefined,
       onRunReplaced: (_endpointId, address) => this.replaced.push(address),
@@ -191,6 +193,22 @@
     t.false(await setup.pool.confirmServing(RUN));
   });
 
+  // A stream may have begun at the next incarnation before its first heartbeat arrived.
+  test(title('is lost for what arrived since, if the next one is of another version'), (t) => {
+    const setup = new Setup();
+    const run = { endpointId: ID, sequence: 1 };
+    setup.pool.observeHeartbeats([heartbeatOf({ ...run, startedAtMs: 1, softwareVersion: 'v1' })]);
+    const heardAtMs = setup.nowMs;
+    setup.nowMs += 100;
+    setup.pool.observeHeartbeats([heartbeatOf({ ...run, startedAtMs: 2, softwareVersion: 'v1' })]);
+    t.deepEqual(setup.inDoubt, [], 'the same version');
+    setup.pool.observeHeartbeats([heartbeatOf({ ...run, startedAtMs: 3, softwareVersion: 'v2' })]);
+    t.deepEqual(setup.inDoubt, [[`${ID}#2`, heardAtMs + 100]]);
+    t.true(setup.pool.isWriterCertain(`${ID}#2`, heardAtMs + 100));
+    t.false(setup.pool.isWriterCertain(`${ID}#2`, heardAtMs + 101));
+    t.true(setup.pool.isWriterCertain(RUN, setup.nowMs));
+  });
+
   test(title('is not needed if ids are not used again'), async (t) => {
     const setup = new Setup();
     setup.observe(ID);
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -6,7 +6,7 @@
 import type { WaitingCapacity } from '@shedline/admission';
 import { EndpointDirectory, LeaseClock } from '@shedline/directory';
 import type { KnownEndpoint, ZonedName } from '@shedline/directory';
-import { UNKNOWN_START_MS, endpointIdOf, runIdOf } from '@shedline/fleet';
+import { UNKNOWN_START_MS, endpointIdOf, runIdOf, runOf } from '@shedline/fleet';
 import type { AgedHeartbeat, EndpointHeartbeat } from '@shedline/fleet';
 import type { ChosenEndpoint, EndpointChooser, SendResult } from '@shedline/forwarding';
 import { LoadView, SlotRouting, StartRate } from '@shedline/routing';
@@ -18,10 +18,14 @@
 /** Heartbeat intervals after which the lease of an endpoint expires. */
 const MISSED_HEARTBEATS = 3;
 /**
- * Heartbeat intervals within which an incarnation that still serves is heard of: control processes and
- * entries pass heartbeats on in intervals of their own.
+ * Heartbeat intervals after which the next heartbeat has been sent and passed on between control
+ * processes, which let it wait for a sixth of the interval.
  */
-const HEARTBEATS_TO_CONFIRM = 1.5;
+const HEARTBEATS_TO_CONFIRM = 1.25;
+/** Time within which entries then read it: control processes are polled every 500 ms. */
+const CONFIRMATION_READ_MS = 700;
+/** Number of replaced incarnations that are remembered; streams last far shorter. */
+const MAX_IN_DOUBT = 1000;
 /** Consecutive failures that eject an endpoint; a failed connection attempt ejects it at once. */
 const FAILURES_BEFORE_EJECTION = 2;
 /**
@@ -90,6 +94,11 @@
   readonly onSlotWanted: (endpointId: string) => void;
   /** Called when a new incarnation of an endpoint replaces the previous one, at `address`. */
   readonly onRunReplaced: (endpointId: string, address: string, heartbeatAgeMs: number) => void;
+  /**
+   * Called when an endpoint has restarted under its id as another software version, at some time after
+   * `sinceMs`.
+   */
+  readonly onWriterInDoubt: (endpointId: string, sinceMs: number) => void;
   /**
    * Called when an attempt fails because no data arrived within its time limit; `moment` states
    * whether the response had begun.
@@ -111,6 +120,10 @@
   private readonly startRate = new StartRate();
   private readonly routing: SlotRouting;
   private readonly runConfirmations: RunConfirmations;
+  /** When heartbeats, or word that there are none, last arrived from a control process. */
+  private lastNewsAtMs = -Infinity;
+  /** Since when incarnations that were replaced by another software version are in doubt. */
+  private readonly inDoubtSinceMs = new Map<string, number>();
   private readonly addresses = new Map<string, string>();
   /** Software versions of the incarnations that state one. */
   private readonly softwareVersions = new Map<string, string>();
@@ -129,7 +142,7 @@
     });
     this.routing = new SlotRouting({ random: options.random });
     this.runConfirmations = new RunConfirmations({
-      maxWaitMs: options.heartbeatMs * HEARTBEATS_TO_CONFIRM,
+      maxWaitMs: options.heartbeatMs * HEARTBEATS_TO_CONFIRM + CONFIRMATION_READ_MS,
     });
   }
 
@@ -137,6 +150,7 @@
   observeHeartbeats(heartbeats: readonly AgedHeartbeat[]): boolean {
     const nowMs = this.options.nowMs();
     this.leaseClock.messageReceived(nowMs);
+    this.lastNewsAtMs = nowMs;
     let isAnyNew = false;
     for (const { heartbeat, ageMs } of heartbeats) {
       if (!this.isOfLatestRun(heartbeat, ageMs)) continue;
@@ -165,11 +179,26 @@
       return false;
     }
     const previousId = runIdOf(known);
+    if ((known.softwareVersion ?? '') !== (heartbeat.softwareVersion ?? ''))
+      this.noteWriterInDoubt(previousId);
     this.forget(previousId);
     this.options.onRunReplaced(previousId, known.address, ageMs);
     return true;
   }
 
+  /**
+   * Notes that an incarnation was replaced by one of another software version, at some time after it was
+   * last heard of: the next one may have written what arrived since.
+   */
+  private noteWriterInDoubt(runId: string): void {
+    const sinceMs = this.runConfirmations.lastHeardAtMs(runId);
+    this.inDoubtSinceMs.set(runId, sinceMs);
+    const [oldest] = this.inDoubtSinceMs.keys();
+    if (this.inDoubtSinceMs.size > MAX_IN_DOUBT && oldest !== undefined)
+      this.inDoubtSinceMs.delete(oldest);
+    this.options.onWriterInDoubt(runId, sinceMs);
+  }
+
   /** Removes an incarnation with its health and load state. */
   private forget(runId: string): void {
     this.directory.remove(runId);
@@ -370,6 +399,14 @@
     return this.runConfirmations.wait(endpointId, Math.min(sinceMs, this.options.nowMs()));
   }
 
+  isWriterCertain(endpointId: string, atMs: number): boolean {
+    if (atMs > (this.inDoubtSinceMs.get(endpointId) ?? Infinity)) return false;
+    if (runOf(endpointId).startedAtMs === UNKNOWN_START_MS) return true;
+    // While this entry is cut off, endpoints may restart without its knowledge.
+    const hasNews = this.options.nowMs() - this.lastNewsAtMs <= USUAL_CONTROL_SILENCE_MS;
+    return hasNews || this.runConfirmations.lastHeardAtMs(endpointId) >= atMs;
+  }
+
   mayBeQueued(endpointId: string): boolean {
     const known = this.directory.get(endpointId);
     if (known === undefined) return false;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -189,6 +189,7 @@
       nowMs: this.nowMs,
     });
     this.streamOrigins = new StreamOrigins({
+      isWriterCertain: (endpointId, atMs) => this.pool.isWriterCertain(endpointId, atMs),
       controls: this.core.mesh.controls,
       metrics: this.metrics,
       logger,
@@ -427,6 +428,9 @@
         this.crashDetector.noteRestart(endpointId);
         this.onEndpointRestarted(address, heartbeatAgeMs);
       },
+      onWriterInDoubt: (endpointId, sinceMs) => {
+        this.streamOrigins.writerInDoubt(endpointId, sinceMs);
+      },
       onTimeout: (moment) => {
         this.metrics.count('shedline_silent_sends_total', { moment });
       },
--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -50,6 +50,7 @@
     },
     nowMs: () => 0,
     confirmServing: () => Promise.resolve(isConfirmed),
+    isWriterCertain: () => isConfirmed,
   });
   const receive = (id: string): void => {
     const event: StreamEvent = { id, bytes: Buffer.from(`id: ${id}\ndata: text ${id}\n\n`) };
@@ -99,6 +100,12 @@
       t.deepEqual(run.progress, { ...progress, origin: ORIGIN });
     });
 
+    test(title('keeps none if it is not certain what wrote it'), (t) => {
+      const { run, receive } = startRun(undefined, false);
+      receive('1');
+      t.is(run.progress, undefined);
+    });
+
     // An earlier version of shedline stored progress without what wrote it.
     const others = {
       'another software version': { ...ORIGIN, softwareVersion: 'v2' },
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -37,6 +37,8 @@
   readonly nowMs: () => number;
   /** See `EndpointChooser.confirmServing`. */
   readonly confirmServing: (endpointId: string) => Promise<boolean>;
+  /** See `EndpointChooser.isWriterCertain`. */
+  readonly isWriterCertain: (endpointId: string, atMs: number) => boolean;
   /** Called once, with the first part of the response. */
   readonly onFirstEvent?: () => void;
 }
@@ -59,7 +61,8 @@
   private readonly sending: RunningSend;
   private readonly pieces: string[];
   private lastEventId: string | undefined;
-  private hasReceivedPart = false;
+  private firstPartAtMs: number | undefined;
+  private readonly isWriterCertain: ItemRunOptions['isWriterCertain'];
   /** Whether the incarnation that continues earlier runs is the one that was chosen. */
   private confirmation: Promise<boolean> | undefined;
   private hasBeenStopped = false;
@@ -73,6 +76,7 @@
     this.endpointId = endpointId;
     this.address = address;
     this.origin = options.origin;
+    this.isWriterCertain = options.isWriterCertain;
     this.ref = { jobId: granted.jobId, index: granted.index };
     this.startedAtMs = options.nowMs();
     const progress = continuableProgress(granted, options.origin);
@@ -98,8 +102,8 @@
       {
         onHead: () => undefined,
         onPart: (bytes, event) => {
-          if (!this.hasReceivedPart) options.onFirstEvent?.();
-          this.hasReceivedPart = true;
+          if (!this.hasBegun) options.onFirstEvent?.();
+          this.firstPartAtMs ??= options.nowMs();
           if (!this.isFromStart) this.confirmation ??= options.confirmServing(endpointId);
           this.pieces.push(event === undefined ? bytes.toString('utf8') : dataOf(event));
           if (event?.id !== undefined) this.lastEventId = event.id;
@@ -137,11 +141,13 @@
   }
 
   /**
-   * Progress from which another run can resume; undefined if the item cannot be resumed. Events that
+   * Progress from which another run can resume; undefined if the item cannot be resumed or it is not
+   * certain which software version wrote its events. Events that
    * arrive later do not change it: they would stand twice in the text of the next run.
    */
   get progress(): ItemProgress | undefined {
-    const { lastEventId, origin } = this;
+    const { lastEventId, origin, endpointId, firstPartAtMs = -Infinity } = this;
+    if (this.isFromStart && !this.isWriterCertain(endpointId, firstPartAtMs)) return undefined;
     return lastEventId === undefined
       ? undefined
       : { pieces: [...this.pieces], lastEventId, origin };
@@ -154,7 +160,7 @@
 
   /** Whether this run has brought any part of a response. */
   get hasBegun(): boolean {
-    return this.hasReceivedPart;
+    return this.firstPartAtMs !== undefined;
   }
 
   /** Whether another item has run at the endpoint during this run. */
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -218,6 +218,7 @@
     userCount: () => 1,
     entryCount: () => 1,
     sameProcessSinceMs: () => Infinity,
+    onWriterInDoubt: () => undefined,
     onLoadChange: () => undefined,
     onSlotWanted: () => undefined,
     onTimeout: () => undefined,
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -313,7 +313,10 @@
     const origin = pool.originOf(endpointId);
     const target = { endpointId, address, origin, sender, protocol, nowMs, onFirstEvent };
     const confirmServing = (runId: string): Promise<boolean> => pool.confirmServing(runId);
-    const run = new ItemRun({ runNumber, group, granted, ...target, confirmServing });
+    const isWriterCertain = (runId: string, atMs: number): boolean =>
+      pool.isWriterCertain(runId, atMs);
+    const checks = { confirmServing, isWriterCertain };
+    const run = new ItemRun({ runNumber, group, granted, ...target, ...checks });
     this.runs.set(keyOf(run.ref), run);
     if (run.droppedEvents > 0) this.logDroppedProgress(run);
     this.noteSharing(endpointId, 0);
--- a/packages/gateway/src/overload.test.ts
+++ b/packages/gateway/src/overload.test.ts
@@ -333,6 +333,7 @@
       userCount: (endpointId) => this.subsets.entriesOf(endpointId).length,
       entryCount: () => this.entryNames.length,
       sameProcessSinceMs: () => Infinity,
+      onWriterInDoubt: () => undefined,
       onLoadChange: (endpointId) => {
         reporter.markChanged(endpointId);
       },
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -46,7 +46,7 @@
   readonly fleet: KnownFleet;
   readonly forwarder: Forwarder;
   readonly quotas: Pick<QuotaEnforcer, 'admit' | 'refund'>;
-  readonly origins: Pick<StreamOrigins, 'begun' | 'find'>;
+  readonly origins: Pick<StreamOrigins, 'begun' | 'find' | 'isCertain'>;
   readonly stop: Pick<GracefulShutdown, 'isClosing'>;
   readonly metrics: ProcessMetrics;
   readonly logger: Logger;
@@ -136,30 +136,29 @@
       arrivedAtMs: askedAtMs,
       firstAttemptAtMs: askedAtMs - this.callerAgeMs(route, timeLeftMs),
       sink,
-      ...(origin === undefined ? {} : { softwareVersion: origin.softwareVersion }),
-      onFirstEvent: (softwareVersion) => {
+      ...(origin === undefined
+        ? {}
+        : {
+            softwareVersion: origin.softwareVersion,
+            isOriginCertain: () => origins.isCertain(resumedAttemptOf(admitted)),
+          }),
+      onFirstEvent: ({ endpointId: writer, softwareVersion }) => {
         if (!route.isResumable) return;
-        origins.begun({ attempt, service, softwareVersion, timeLimitMs: route.timeLimitMs });
+        const { timeLimitMs } = route;
+        origins.begun({ attempt, service, softwareVersion, writer, timeLimitMs });
       },
     });
   }
 
   /** Returns where the stream began that a request continues; undefined for a new one. */
-  private async originOf({
-    caller,
-    workspace,
-    host,
-    route,
-  }: AdmittedRequest): Promise<StreamOrigin | 'unknown' | undefined> {
-    const { requestId, resumeAfterEventId, resumesRequestId } = caller;
+  private async originOf(admitted: AdmittedRequest): Promise<StreamOrigin | 'unknown' | undefined> {
+    const { caller, route } = admitted;
+    const { requestId, resumeAfterEventId } = caller;
     if (route.kind !== 'stream' || resumeAfterEventId === undefined) return undefined;
     const services = route.targets
       .filter(({ weight }) => weight > 0)
       .map((target) => target.service);
-    const attempt =
-      resumesRequestId === undefined
-        ? undefined
-        : { host, workspace: workspace?.name, requestId: resumesRequestId };
+    const attempt = resumedAttemptOf(admitted);
     const verdict = await this.options.origins.find({ requestId, attempt, services });
     // A stream of a service that the route no longer uses cannot continue.
     if (!verdict.isKnown || !services.includes(verdict.origin.service)) return 'unknown';
@@ -223,3 +222,9 @@
     else sink.refuse(503, { retryAfterMs: NOT_READY_RETRY_MS });
   }
 }
+
+/** Returns the attempt that began the stream which a request continues, if its caller names one. */
+function resumedAttemptOf({ caller, workspace, host }: AdmittedRequest): StreamAttempt | undefined {
+  const { resumesRequestId: requestId } = caller;
+  return requestId === undefined ? undefined : { host, workspace: workspace?.name, requestId };
+}
--- a/packages/gateway/src/run-confirmations.ts
+++ b/packages/gateway/src/run-confirmations.ts
@@ -31,6 +31,11 @@
       if (this.isConfirmed(runId, waiter.fromMs)) waiter.settle(true);
   }
 
+  /** Returns when an incarnation was last heard of; -Infinity if it is not known. */
+  lastHeardAtMs(runId: string): number {
+    return this.heardAtMs.get(runId) ?? -Infinity;
+  }
+
   /** Notes that a later incarnation is known. */
   ended(runId: string): void {
     this.heardAtMs.delete(runId);
@@ -65,6 +70,6 @@
   }
 
   private isConfirmed(runId: string, fromMs: number): boolean {
-    return (this.heardAtMs.get(runId) ?? -Infinity) >= fromMs;
+    return this.lastHeardAtMs(runId) >= fromMs;
   }
 }
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -18,6 +18,7 @@
   attempt: { host: 'h', workspace: undefined, requestId: 'first' },
   service: SERVICE,
   softwareVersion: 'v1',
+  writer: 'e',
   timeLimitMs: 5000,
 };
 
@@ -25,6 +26,7 @@
 class FakeControl {
   readonly peerName: string;
   readonly received: OriginRecord[] = [];
+  readonly inDoubt: string[] = [];
   questions = 0;
   reply: (question: number) => OriginReply = () => ({ versions: [], coversKeepTime: true });
 
@@ -32,8 +34,9 @@
     this.peerName = peerName;
   }
 
-  send(_method: string, records: OriginRecord[]): void {
-    this.received.push(...records);
+  send(method: string, payload: unknown[]): void {
+    if (method === 'streamOrigins') this.received.push(...(payload as OriginRecord[]));
+    else this.inDoubt.push(...(payload as string[]));
   }
 
   request(): Promise<OriginReply> {
@@ -42,9 +45,10 @@
   }
 }
 
-function setup(controlCount: number, lostCount = 0) {
+function setup(controlCount: number, lostCount = 0, isCertain = true) {
   const controls = Array.from({ length: controlCount }, (_, index) => new FakeControl(`c${index}`));
   const origins = new StreamOrigins({
+    isWriterCertain: () => isCertain,
     controls: {
       ready: controls as unknown as PeerClient[],
       names: Array.from({ length: controlCount + lostCount }, (_, index) => `c${index}`),
@@ -126,6 +130,28 @@
     t.is(controls[0]?.questions, 0);
   });
 
+  // An endpoint may have restarted as another version before its entry knew.
+  test(title('withdraws the records of a writer that is in doubt'), async (t) => {
+    const { controls, origins } = setup(3);
+    origins.observeHeartbeats([heartbeatOf('v1'), heartbeatOf('v2')]);
+    origins.begun(BEGUN);
+    origins.writerInDoubt('e', 900);
+    t.deepEqual(
+      controls.map(({ inDoubt }) => inDoubt.length),
+      [1, 1, 1],
+    );
+    t.is(controls[0]?.inDoubt[0], controls[0]?.received[0]?.key);
+    t.like(await origins.find(STREAM), { isKnown: false, reason: 'several versions' });
+  });
+
+  test(title('does not rely on its own record while the writer is not certain'), async (t) => {
+    const { origins } = setup(3, 0, false);
+    origins.observeHeartbeats([heartbeatOf('v1'), heartbeatOf('v2')]);
+    origins.begun(BEGUN);
+    t.false((await origins.find(STREAM)).isKnown);
+    t.false(origins.isCertain(BEGUN.attempt));
+  });
+
   test(title('asks again for a record that is on its way'), async (t) => {
     const { controls, origins } = setup(3);
     const several = replyWith(['v1', 'v2']);
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -32,6 +32,9 @@
 /** Pauses before further questions: the record may still be on its way. */
 const FURTHER_QUESTION_PAUSES_MS = [30, 60];
 
+/** Number of removed records that are remembered. */
+const MAX_DOUBTED_KEYS = 10_000;
+
 /** A stream that a caller wants to continue. */
 export interface ContinuedStream {
   /** Id of the request that continues it, for the log. */
@@ -45,12 +48,16 @@
 /** A stream that has begun at this entry. */
 export interface BegunStream extends StreamOrigin {
   readonly attempt: StreamAttempt;
+  /** Id of the endpoint's incarnation that wrote the first event. */
+  readonly writer: string;
   /** Maximum duration of the stream. */
   readonly timeLimitMs: number;
 }
 
 /** Options of {@link StreamOrigins}. */
 export interface StreamOriginsOptions {
+  /** See `EndpointChooser.isWriterCertain`. */
+  readonly isWriterCertain: (endpointId: string, atMs: number) => boolean;
   readonly controls: Pick<PeerConnections, 'ready' | 'names'>;
   readonly logger: Logger;
   readonly metrics: ProcessMetrics;
@@ -63,6 +70,8 @@
   private readonly startedAtMs: number;
   private readonly records = new OriginRecords();
   private readonly seenVersions = new SeenVersions();
+  /** Keys of removed records, the latest ones: requests in progress may rely on them. */
+  private readonly doubtedKeys = new Set<string>();
 
   constructor(options: StreamOriginsOptions) {
     this.options = options;
@@ -104,12 +113,13 @@
   }
 
   /** Records a stream; call this before its first event is passed on. */
-  begun({ attempt, service, softwareVersion, timeLimitMs }: BegunStream): void {
+  begun({ attempt, service, softwareVersion, writer, timeLimitMs }: BegunStream): void {
     const nowMs = this.options.nowMs();
     const record: OriginRecord = {
       key: originKeyOf(attempt),
       service,
       softwareVersion,
+      writer,
       ageMs: 0,
       keepMs: timeLimitMs + STREAM_KEEP_MS,
     };
@@ -117,6 +127,24 @@
     if (this.seenVersions.hasSeveral(service, nowMs)) this.send([record]);
   }
 
+  /**
+   * Removes the streams that an incarnation began after `sinceMs`: the next one, of another version, may
+   * have written them.
+   */
+  writerInDoubt(writer: string, sinceMs: number): void {
+    const keys = this.records.removeBegunAt(writer, sinceMs);
+    this.options.logger.info('endpoint restarted as another software version', {
+      step: 'stream origin',
+      endpoint: writer,
+      streamsInDoubt: keys.length,
+    });
+    if (keys.length === 0) return;
+    for (const key of keys) this.doubtedKeys.add(key);
+    const excess = [...this.doubtedKeys].slice(0, -MAX_DOUBTED_KEYS);
+    for (const key of excess) this.doubtedKeys.delete(key);
+    for (const control of this.options.controls.ready) control.send('streamOriginsInDoubt', keys);
+  }
+
   /** Finds out where a stream began. */
   async find(stream: ContinuedStream): Promise<OriginVerdict> {
     const { attempt, services } = stream;
@@ -139,6 +167,20 @@
     return verdict;
   }
 
+  /**
+   * Whether this entry still takes its record of a stream as certain; true for streams that others began.
+   */
+  isCertain(attempt: StreamAttempt | undefined): boolean {
+    if (attempt === undefined) return true;
+    const key = originKeyOf(attempt);
+    return !this.doubtedKeys.has(key) && this.isWriterCertain(key);
+  }
+
+  private isWriterCertain(key: string): boolean {
+    const known = this.records.writerOf(key);
+    return known === undefined || this.options.isWriterCertain(known.writer, known.begunAtMs);
+  }
+
   private decide(own: OriginReply, replies: readonly OriginReply[]): OriginVerdict {
     return decideOrigin({ own, replies, controlCount: this.options.controls.names.length });
   }
@@ -147,7 +189,7 @@
     const nowMs = this.options.nowMs();
     const origin = this.records.find(key, nowMs);
     return {
-      ...(origin === undefined ? {} : { origin }),
+      ...(origin === undefined || !this.isWriterCertain(key) ? {} : { origin }),
       versions: this.seenVersions.of(services, nowMs),
       coversKeepTime: nowMs - this.startedAtMs >= STREAM_KEEP_MS,
     };
--- a/packages/stream-origins/src/messages.ts
+++ b/packages/stream-origins/src/messages.ts
@@ -32,6 +32,8 @@
 /** The origin of the stream that an attempt began. */
 export interface OriginRecord extends StreamOrigin {
   readonly key: string;
+  /** Id of the endpoint's incarnation that wrote the first event. */
+  readonly writer: string;
   /** Time since the first event. */
   readonly ageMs: number;
   /** Time after the first event for which the record is held. */
--- a/packages/stream-origins/src/origin-records.ts
+++ b/packages/stream-origins/src/origin-records.ts
@@ -5,6 +5,7 @@
 
 interface HeldOrigin {
   readonly origin: StreamOrigin;
+  readonly writer: string;
   readonly begunAtMs: number;
   readonly keepMs: number;
 }
@@ -31,10 +32,11 @@
   }
 
   /** Records a stream whose first event was `ageMs` ago, unless it is recorded already. */
-  record({ key, service, softwareVersion, ageMs, keepMs }: OriginRecord, nowMs: number): void {
+  record(record: OriginRecord, nowMs: number): void {
+    const { key, service, softwareVersion, writer, ageMs, keepMs } = record;
     if (this.held.has(key)) return;
     const origin = { service, softwareVersion };
-    this.held.set(key, { origin, begunAtMs: nowMs - ageMs, keepMs });
+    this.held.set(key, { origin, writer, begunAtMs: nowMs - ageMs, keepMs });
     this.removeOldest(nowMs);
   }
 
@@ -44,18 +46,38 @@
     return known === undefined || isExpired(known, nowMs) ? undefined : known.origin;
   }
 
+  /** Returns which endpoint began a stream, and when; undefined if it is not recorded. */
+  writerOf(key: string): { readonly writer: string; readonly begunAtMs: number } | undefined {
+    return this.held.get(key);
+  }
+
   /** Returns the records of these services, to be sent to another process. */
   ofServices(services: ReadonlySet<string>, nowMs: number): OriginRecord[] {
     return [...this.held]
       .filter(([, held]) => services.has(held.origin.service) && !isExpired(held, nowMs))
-      .map(([key, { origin, begunAtMs, keepMs }]) => ({
+      .map(([key, { origin, writer, begunAtMs, keepMs }]) => ({
         key,
         ...origin,
+        writer,
         ageMs: nowMs - begunAtMs,
         keepMs,
       }));
   }
 
+  /** Removes the streams that one writer began after `sinceMs`; returns their keys. */
+  removeBegunAt(writer: string, sinceMs: number): string[] {
+    const keys = [...this.held]
+      .filter(([, held]) => held.writer === writer && held.begunAtMs > sinceMs)
+      .map(([key]) => key);
+    this.remove(keys);
+    return keys;
+  }
+
+  /** Removes records. */
+  remove(keys: readonly string[]): void {
+    for (const key of keys) this.held.delete(key);
+  }
+
   private removeOldest(nowMs: number): void {
     for (const [key, held] of this.held) {
       if (this.held.size <= this.maxRecords && !isExpired(held, nowMs)) return;
--- a/packages/stream-origins/src/stream-origins.test.ts
+++ b/packages/stream-origins/src/stream-origins.test.ts
@@ -59,32 +59,44 @@
 describe('OriginRecords', () => {
   test(title('forget a stream after the keep time, counted from its first event'), (t) => {
     const records = new OriginRecords();
-    records.record({ key: 'a', ...OLD, ageMs: 1000, keepMs: 3000 }, 5000);
+    records.record({ key: 'a', ...OLD, writer: 'e', ageMs: 1000, keepMs: 3000 }, 5000);
     t.deepEqual(records.find('a', 7000), OLD);
     t.is(records.find('a', 7001), undefined);
-    records.record({ key: 'b', ...OLD, ageMs: 0, keepMs: 3000 }, 7001);
+    records.record({ key: 'b', ...OLD, writer: 'e', ageMs: 0, keepMs: 3000 }, 7001);
     t.is(records.size, 1);
   });
 
   test(title('keep the first origin of an id, and the newest ids'), (t) => {
     const records = new OriginRecords({ maxRecords: 2 });
     for (const origin of [OLD, NEW])
-      records.record({ key: 'a', ...origin, ageMs: 0, keepMs: 3000 }, 0);
+      records.record({ key: 'a', ...origin, writer: 'e', ageMs: 0, keepMs: 3000 }, 0);
     t.deepEqual(records.find('a', 0), OLD);
-    for (const key of ['b', 'c']) records.record({ key, ...NEW, ageMs: 0, keepMs: 3000 }, 0);
+    for (const key of ['b', 'c'])
+      records.record({ key, ...NEW, writer: 'e', ageMs: 0, keepMs: 3000 }, 0);
     t.is(records.find('a', 0), undefined);
     t.deepEqual(records.find('c', 0), NEW);
   });
 
+  test(title('are removed if another incarnation may have written them'), (t) => {
+    const records = new OriginRecords();
+    const record = { ...OLD, writer: 'e', keepMs: 3000 };
+    records.record({ ...record, key: 'before', ageMs: 100 }, 1000);
+    records.record({ ...record, key: 'after', ageMs: 0 }, 1000);
+    records.record({ ...record, key: 'other', writer: 'f', ageMs: 0 }, 1000);
+    t.deepEqual(records.removeBegunAt('e', 950), ['after']);
+    t.is(records.find('after', 1000), undefined);
+    t.is(records.size, 2);
+  });
+
   test(title('are sent with their age, for the services that need them'), (t) => {
     const records = new OriginRecords();
-    records.record({ key: 'a', ...OLD, ageMs: 10, keepMs: 3000 }, 100);
+    records.record({ key: 'a', ...OLD, writer: 'e', ageMs: 10, keepMs: 3000 }, 100);
     records.record(
-      { key: 'b', service: 'other', softwareVersion: '', ageMs: 0, keepMs: 3000 },
+      { key: 'b', service: 'other', softwareVersion: '', writer: 'e', ageMs: 0, keepMs: 3000 },
       100,
     );
     t.deepEqual(records.ofServices(new Set(['s']), 150), [
-      { key: 'a', ...OLD, ageMs: 60, keepMs: 3000 },
+      { key: 'a', ...OLD, writer: 'e', ageMs: 60, keepMs: 3000 },
     ]);
   });
 });
