Soak: two software versions side by side, and streams that callers continue

The soak's endpoints wrote the same text for an id, so a joined stream looked whole. Incarnations now alternate between two versions, and each event names that of its writer. Callers continue streams that broke off, and 15 in 100 streams that they leave early, at other entries. New promise: 'a stream has one software version', over all attempts of a caller, also in part, and in the texts of items. Partial responses must be the beginning of the expected ones.

--- a/packages/soak/src/endpoint-set.test.ts
+++ b/packages/soak/src/endpoint-set.test.ts
@@ -18,10 +18,11 @@
     await pause(START_MS);
     this.upCount += 1;
     this.started.push(options);
-    const { endpointId, startedAtMs, incarnationName, host, port } = options;
+    const { endpointId, startedAtMs, softwareVersion, incarnationName, host, port } = options;
     return {
       endpointId,
       startedAtMs,
+      softwareVersion,
       incarnationName,
       address: `${host}:${port}`,
       setHanging: () => undefined,
--- a/packages/soak/src/endpoint-set.ts
+++ b/packages/soak/src/endpoint-set.ts
@@ -15,6 +15,7 @@
 /** Time until an endpoint restarts after a request content has crashed it. */
 const CRASH_RESTART_MS = 1000;
 const PORT = 8080;
+const SOFTWARE_VERSIONS = ['v1', 'v2'];
 /** Last octet of the first endpoint, above those of the processes and their relays. */
 const FIRST_HOST = 200;
 /** Distance from the host of a relay to that of the endpoint behind it. */
@@ -94,6 +95,7 @@
       endpointId: incarnationName,
       ...options,
       startedAtMs: Date.now(),
+      softwareVersion: softwareVersionOf(this.incarnationCount),
       incarnationName,
       announcedHost: this.announcedHost(name),
       host: await this.listenHost(name),
@@ -176,6 +178,11 @@
   }
 }
 
+/** Versions serve side by side, and an endpoint may restart under its id as another one. */
+function softwareVersionOf(incarnation: number): string {
+  return SOFTWARE_VERSIONS[incarnation % SOFTWARE_VERSIONS.length] ?? '';
+}
+
 function numberOf(name: string): number {
   return Number(name.split('-')[1]);
 }
--- a/packages/soak/src/expected-response.ts
+++ b/packages/soak/src/expected-response.ts
@@ -9,6 +9,7 @@
 /** Prefix of the ids of requests with {@link LONG_EVENTS} events, about as many as items of jobs have. */
 export const LONG_PREFIX = 'long-';
 const LONG_EVENTS = 150;
+const VERSION_MARK = '@';
 /** Prefix of the ids of requests that always fail. */
 export const POISON_PREFIX = 'poison-';
 
@@ -18,15 +19,38 @@
   return MIN_EVENTS + Math.floor(unitHash(requestId) * (MAX_EVENTS - MIN_EVENTS));
 }
 
-/** Returns the data of one event; `number` counts from 1. */
-export function eventDataOf(requestId: string, number: number): string {
+/**
+ * Returns the data of one event of an endpoint; `number` counts from 1. It names the software version,
+ * as what endpoints of several versions write does not fit together.
+ */
+export function eventDataOf(requestId: string, number: number, softwareVersion: string): string {
+  return `${dataWithoutVersion(requestId, number)}${VERSION_MARK}${softwareVersion}`;
+}
+
+/** Returns the software versions that wrote the events of a text. */
+export function softwareVersionsOf(text: string): Set<string> {
+  const lines = text.split('\n').filter((line) => line.includes(VERSION_MARK));
+  return new Set(lines.map((line) => line.slice(line.lastIndexOf(VERSION_MARK) + 1)));
+}
+
+/** Returns the text without the versions that its events name. */
+export function withoutVersions(text: string): string {
+  const lines = text.split('\n');
+  return lines
+    .map((line) =>
+      line.includes(VERSION_MARK) ? line.slice(0, line.lastIndexOf(VERSION_MARK)) : line,
+    )
+    .join('\n');
+}
+
+function dataWithoutVersion(requestId: string, number: number): string {
   return `${requestId}:${number}`;
 }
 
-/** Returns the data of all events, one per line. */
+/** Returns the data of all events without their versions, one per line. */
 export function completeTextOf(requestId: string): string {
   const events = Array.from({ length: eventCountOf(requestId) }, (_, index) =>
-    eventDataOf(requestId, index + 1),
+    dataWithoutVersion(requestId, index + 1),
   );
   return events.join('\n');
 }
--- a/packages/soak/src/fleet-adapter.ts
+++ b/packages/soak/src/fleet-adapter.ts
@@ -3,7 +3,7 @@
  * the API of that fleet.
  */
 import type { Role, StartupHealth } from './fault-plan.js';
-import type { ListedResult, RequestOutcome, RequestKind } from './promise-checker.js';
+import type { BegunStream, ListedResult, RequestOutcome, RequestKind } from './promise-checker.js';
 import type { ProcessSpec, SettingsOptions } from './process-set.js';
 
 /** Number of the newest versions of which a check can determine whether an entry applies them. */
@@ -16,6 +16,10 @@
   readonly timeoutMs: number;
   /** Content of path and body; the request id if omitted. */
   readonly content?: string;
+  /** The stream to continue after the events of its text. */
+  readonly continues?: BegunStream;
+  /** Number of events after which the caller disconnects; it reads to the end if omitted. */
+  readonly leaveAfterEvents?: number;
 }
 
 /** A job of a caller. */
@@ -37,6 +41,7 @@
   readonly endpointId: string;
   /** Start time in Unix milliseconds; distinguishes the incarnations of one id. */
   readonly startedAtMs: number;
+  readonly softwareVersion: string;
   /** Unique name of this incarnation, for the {@link PromiseChecker}. */
   readonly incarnationName: string;
   /** `host:port`. */
@@ -52,6 +57,7 @@
   readonly endpointId: string;
   readonly startedAtMs: number;
   readonly incarnationName: string;
+  readonly softwareVersion: string;
   /** Announced IP address; that of the relay if the endpoint is behind one. */
   readonly announcedHost: string;
   /** IP address on which the endpoint listens. */
--- a/packages/soak/src/promise-checker.test.ts
+++ b/packages/soak/src/promise-checker.test.ts
@@ -1,12 +1,18 @@
 import test from 'ava';
 import { describe, title } from '@shedline/test-utils';
-import { completeTextOf } from './expected-response.js';
+import { completeTextOf, eventCountOf, eventDataOf } from './expected-response.js';
 import { PromiseChecker } from './promise-checker.js';
 
 function createChecker(isUndisturbed = true): PromiseChecker {
   return new PromiseChecker({ isUndisturbed: () => isUndisturbed });
 }
 
+/** Returns the text of events `from` to `to`, of the last one if omitted, written by one version. */
+function textOf(id: string, version: string, from = 1, to = eventCountOf(id)): string {
+  const numbers = Array.from({ length: to - from + 1 }, (_, index) => from + index);
+  return numbers.map((number) => eventDataOf(id, number, version)).join('\n');
+}
+
 function promises(checker: PromiseChecker): string[] {
   return checker.finish(99_999).map(({ promise }) => promise);
 }
@@ -45,6 +51,43 @@
     t.deepEqual(promises(checker), ['whole own answers']);
   });
 
+  test(title('reports events of two software versions in a response or a text'), (t) => {
+    const checker = createChecker();
+    checker.requestSent('q', { entry: 'entry-1', kind: 'resumable', atMs: 0 });
+    const text = `${textOf('q', 'v1', 1, 1)}\n${textOf('q', 'v2', 2)}`;
+    checker.requestEnded('q', { kind: 'complete', text }, 2);
+    checker.jobSubmitted('j', ['i']);
+    checker.jobAccepted('j', ['i']);
+    const item = `${textOf('i', 'v2', 1, 1)}\n${textOf('i', 'v1', 2)}`;
+    checker.resultListed('j', 0, { itemId: 'i', state: 'complete', text: item }, 4);
+    const broken = 'a stream has one software version';
+    t.deepEqual(promises(checker), [broken, broken]);
+  });
+
+  describe('a stream that its caller continues', () => {
+    const continues = { requestId: 'q', text: textOf('q', 'v1', 1, 2) };
+
+    function continued(text: string, kind: 'complete' | 'left' = 'complete'): string[] {
+      const checker = createChecker();
+      checker.requestSent('q', { entry: 'entry-1', kind: 'resumable', atMs: 0 });
+      checker.requestEnded('q', { kind: 'left', text: continues.text }, 1);
+      checker.requestSent('q-2', { entry: 'entry-2', kind: 'resumable', atMs: 2, continues });
+      checker.requestEnded('q-2', { kind, text }, 3);
+      return promises(checker);
+    }
+
+    test(title('is whole over its attempts'), (t) => {
+      t.deepEqual(continued(textOf('q', 'v1', 3)), []);
+      t.deepEqual(continued(textOf('q', 'v1', 2)), ['whole own answers']);
+    });
+
+    test(title('is reported if another software version continues it, also in part'), (t) => {
+      const broken = ['a stream has one software version'];
+      t.deepEqual(continued(textOf('q', 'v2', 3)), broken);
+      t.deepEqual(continued(textOf('q', 'v2', 3, 3), 'left'), broken);
+    });
+  });
+
   test(
     title('reports a broken response only without faults, and only if an endpoint ran the request'),
     (t) => {
@@ -56,7 +99,7 @@
         const checker = createChecker(isUndisturbed);
         checker.requestSent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
         if (hasRun) checker.requestRan('q', 'e', 1);
-        checker.requestEnded('q', { kind: 'cut', reason: 'reset' }, 2);
+        checker.requestEnded('q', { kind: 'cut', reason: 'reset', text: '' }, 2);
         t.is(promises(checker).length, breaks);
       }
     },
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -3,7 +3,12 @@
  * reports violations. Of the faults it only knows whether a span of time was undisturbed.
  */
 import { CrashingContents } from './crashing-contents.js';
-import { POISON_PREFIX, completeTextOf } from './expected-response.js';
+import {
+  POISON_PREFIX,
+  completeTextOf,
+  softwareVersionsOf,
+  withoutVersions,
+} from './expected-response.js';
 import type { TargetFilter } from './fault-plan.js';
 
 /** Whether and how a request may be retried. */
@@ -16,7 +21,10 @@
   | { readonly kind: 'refused'; readonly status: number }
   /** The request failed; it may have been run. */
   | { readonly kind: 'failed'; readonly status: number }
-  | { readonly kind: 'cut'; readonly reason: string };
+  /** The response broke off after `text`. */
+  | { readonly kind: 'cut'; readonly reason: string; readonly text: string }
+  /** The caller disconnected after `text`. */
+  | { readonly kind: 'left'; readonly text: string };
 
 /** A violated promise. */
 export interface PromiseViolation {
@@ -39,6 +47,15 @@
   readonly atMs: number;
   /** Content of the request, if it is one that crashes endpoints. */
   readonly crashingContent?: string;
+  /** The stream that the request continues, and what its caller has of it. */
+  readonly continues?: BegunStream;
+}
+
+/** A stream that broke off, or whose caller left. */
+export interface BegunStream {
+  /** Id of the attempt that brought its first event. */
+  readonly requestId: string;
+  readonly text: string;
 }
 
 /** Whether an entry applies a configuration or a later one. */
@@ -83,6 +100,7 @@
   endedAtMs?: number;
   readonly ranAtMs: number[];
   readonly crashingContent: string | undefined;
+  readonly continues: BegunStream | undefined;
 }
 
 interface JobRecord {
@@ -114,8 +132,10 @@
 
   /** Records that a caller sends a request. */
   requestSent(requestId: string, request: SentRequest): void {
-    const { entry, kind, atMs, crashingContent } = request;
-    this.requests.set(requestId, { entry, kind, sentAtMs: atMs, ranAtMs: [], crashingContent });
+    const { entry, kind, atMs, crashingContent, continues } = request;
+    const sent = { entry, kind, sentAtMs: atMs, crashingContent, continues };
+    this.requests.set(requestId, { ...sent, ranAtMs: [] });
+    if (continues !== undefined) this.count('streams continued');
   }
 
   /** Records the outcome of a request for its caller. */
@@ -125,9 +145,8 @@
     record.outcome = outcome;
     record.endedAtMs = atMs;
     this.count(`requests ${outcome.kind}`);
-    if (outcome.kind === 'complete' && outcome.text !== completeTextOf(requestId)) {
-      this.addViolation('whole own answers', atMs, `${requestId} got ${outcome.text.slice(0, 80)}`);
-    }
+    if (record.continues !== undefined) this.count(`streams continued, ${outcome.kind}`);
+    if ('text' in outcome) this.checkText(requestId, record, outcome, atMs);
     const hasRun = record.ranAtMs.length > 0;
     const isBroken = outcome.kind === 'cut' || (outcome.kind === 'failed' && outcome.status >= 500);
     const isRelevant: TargetFilter = (target) =>
@@ -143,6 +162,28 @@
     }
   }
 
+  /** Checks what a caller has of a stream over all of its attempts, also if it is not complete. */
+  private checkText(
+    requestId: string,
+    { continues }: RequestRecord,
+    { kind, text }: RequestOutcome & { readonly text: string },
+    atMs: number,
+  ): void {
+    const whole = [continues?.text ?? '', text].filter((part) => part !== '').join('\n');
+    const expected = completeTextOf(continues?.requestId ?? requestId);
+    const plain = withoutVersions(whole);
+    if (kind === 'complete' ? plain !== expected : !expected.startsWith(plain)) {
+      this.addViolation('whole own answers', atMs, `${requestId} got ${whole.slice(0, 80)}`);
+    }
+    this.checkVersions(requestId, whole, atMs);
+  }
+
+  private checkVersions(id: string, text: string, atMs: number): void {
+    const versions = [...softwareVersionsOf(text)];
+    if (versions.length < 2) return;
+    this.addViolation('a stream has one software version', atMs, `${id}: ${versions.join(', ')}`);
+  }
+
   /**
    * Share of the requests sent in a span of time that completed within a limit; 1 if none was sent.
    */
@@ -355,11 +396,12 @@
     const isCorrect = isPoison
       ? state === 'errored'
       : state === 'complete'
-        ? text === completeTextOf(itemId)
+        ? withoutVersions(text) === completeTextOf(itemId)
         : job.isCancelRequested;
     if (!isCorrect) {
       this.addViolation('results are whole', atMs, `${itemId} is ${state}: ${text.slice(0, 60)}`);
     }
+    this.checkVersions(itemId, text, atMs);
   }
 
   private count(event: string): void {
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -8,7 +8,12 @@
 import { CRASHER_PREFIX, POISON_PREFIX } from './expected-response.js';
 import { DISTINGUISHABLE_VERSIONS } from './fleet-adapter.js';
 import type { FleetAdapter, SoakCaller } from './fleet-adapter.js';
-import type { PromiseChecker, RequestKind } from './promise-checker.js';
+import type {
+  BegunStream,
+  PromiseChecker,
+  RequestKind,
+  RequestOutcome,
+} from './promise-checker.js';
 import type { ProcessSpec } from './process-set.js';
 
 const CALLERS = 8;
@@ -28,6 +33,10 @@
 const KNOWN_WITHIN_MS = 2000;
 /** Time between two attempts of a caller whose content crashes endpoints. */
 const CRASHING_CALLER_PAUSE_MS = 300;
+/** Share of the streams whose caller leaves early and continues at another entry. */
+const LEFT_SHARE = 0.15;
+const MAX_CONTINUATIONS = 3;
+const CONTINUATION_PAUSE_MS = 100;
 const KINDS: readonly RequestKind[] = ['resumable', 'once', 'repeatable'];
 
 /** Options of {@link SoakLoad}. */
@@ -53,6 +62,8 @@
 export class SoakLoad {
   private readonly options: SoakLoadOptions;
   private readonly random: RandomSource;
+  /** Drawn from separately, so that the other load of a seed does not change. */
+  private readonly continuationRandom: RandomSource;
   private readonly loops: Promise<void>[] = [];
   private hasStopped = false;
   private nextId = 1;
@@ -61,6 +72,7 @@
   constructor(options: SoakLoadOptions) {
     this.options = options;
     this.random = seededRandom(options.seed + 1);
+    this.continuationRandom = seededRandom(options.seed + 2);
   }
 
   /** Puts the first configuration, with retries until it is acknowledged. */
@@ -219,16 +231,62 @@
       atMs: nowMs(),
       ...(crashingContent === undefined ? {} : { crashingContent }),
     });
+    const mayLeave = kind === 'resumable' && crashingContent === undefined;
     const outcome = await caller.send({
       requestId,
       kind,
       timeoutMs: REQUEST_TIMEOUT_MS,
       ...contentOption,
+      ...(mayLeave ? this.drawLeave() : {}),
     });
     checker.requestEnded(requestId, outcome, nowMs());
+    if (mayLeave && (outcome.kind === 'cut' || outcome.kind === 'left') && outcome.text !== '')
+      await this.continueElsewhere({ requestId, text: outcome.text });
     return outcome.kind === 'complete';
   }
 
+  private drawLeave(): { readonly leaveAfterEvents?: number } {
+    const hasLeft = this.continuationRandom() < LEFT_SHARE;
+    return hasLeft ? { leaveAfterEvents: 1 + Math.floor(this.continuationRandom() * 3) } : {};
+  }
+
+  /** Continues a stream at other entries until it is complete or a few attempts have failed. */
+  private async continueElsewhere(begun: BegunStream): Promise<void> {
+    let { text } = begun;
+    for (let attempt = 1; attempt <= MAX_CONTINUATIONS && !this.isStopped(); attempt += 1) {
+      const usable = this.options.usableEntries();
+      if (usable.length === 0) return;
+      const entry = pick(this.continuationRandom, usable);
+      const outcome = await this.sendContinuation(entry, { ...begun, text }, attempt);
+      if ('text' in outcome && outcome.text !== '') text += `\n${outcome.text}`;
+      if (outcome.kind === 'complete') return;
+      await pause(CONTINUATION_PAUSE_MS);
+    }
+  }
+
+  private async sendContinuation(
+    entry: ProcessSpec,
+    continues: BegunStream,
+    attempt: number,
+  ): Promise<RequestOutcome> {
+    const { adapter, checker, nowMs } = this.options;
+    const requestId = `${continues.requestId}-again-${attempt}`;
+    const kind = 'resumable';
+    checker.requestSent(requestId, { entry: entry.name, kind, atMs: nowMs(), continues });
+    const caller = adapter.openCaller(entry);
+    const content = continues.requestId;
+    const outcome = await caller.send({
+      requestId,
+      kind,
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      content,
+      continues,
+    });
+    checker.requestEnded(requestId, outcome, nowMs());
+    await caller.close();
+    return outcome;
+  }
+
   private async jobLoop(): Promise<void> {
     const jobs: Promise<void>[] = [];
     while (!this.hasStopped) {
