Never send a stream again whose events have no ids

Cause, by reading: after a part without an event id, a resumable stream that broke off was sent again from its beginning, and the caller got its first events twice, from two runs. Change: without a position the response is aborted. Evidence: 'a stream whose events have no ids is never sent again after its first part' failed before ('send').

--- a/packages/forwarding/src/request-plan.test.ts
+++ b/packages/forwarding/src/request-plan.test.ts
@@ -87,6 +87,17 @@
     t.deepEqual(plan.afterSend({ kind: 'brokeOff', reason: 'r' }, 20), { action: 'abort' });
   });
 
+  test(title('a stream whose events have no ids is never sent again after its first part'), (t) => {
+    const plan = new RequestPlan({
+      kind: 'stream',
+      isResumable: true,
+      maxAttempts: 2,
+      deadlineMs: DEADLINE_MS,
+    });
+    plan.noteForwarded(undefined);
+    t.deepEqual(plan.afterSend({ kind: 'brokeOff', reason: 'r' }, 10), { action: 'abort' });
+  });
+
   test(title('an error response is forwarded once no attempt is left'), (t) => {
     const plan = new RequestPlan({
       kind: 'idempotent',
--- a/packages/forwarding/src/request-plan.ts
+++ b/packages/forwarding/src/request-plan.ts
@@ -144,6 +144,8 @@
     if (this.executionCount >= this.options.maxAttempts) return false;
     const { kind, isResumable } = this.options;
     if (kind === 'idempotent') return !this.hasResponseBegun;
-    return kind === 'stream' && isResumable;
+    // After events without an id, no position is known at which another endpoint could continue.
+    const hasPosition = !this.hasResponseBegun || this.lastEventId !== undefined;
+    return kind === 'stream' && isResumable && hasPosition;
   }
 }
