--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -65,6 +65,12 @@
  */
 const MAX_STORE_ATTEMPT_MS = 1500;
 
+/**
+ * Time for which a missing control process counts towards the majority that rules out other software
+ * versions: it may be on the other side of a partition, or be replaced for good.
+ */
+const CORE_MEMORY_MS = 600_000;
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly settings: FleetSettings;
@@ -191,6 +197,7 @@
     this.streamOrigins = new StreamOrigins({
       isWriterCertain: (endpointId, atMs) => this.pool.isWriterCertain(endpointId, atMs),
       controls: this.core.mesh.controls,
+      controlCount: () => this.core.mesh.coreListedWithin(CORE_MEMORY_MS).length,
       metrics: this.metrics,
       logger,
       nowMs: this.nowMs,
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -58,7 +58,9 @@
 export interface StreamOriginsOptions {
   /** See `EndpointChooser.isWriterCertain`. */
   readonly isWriterCertain: (endpointId: string, atMs: number) => boolean;
-  readonly controls: Pick<PeerConnections, 'ready' | 'names'>;
+  readonly controls: Pick<PeerConnections, 'ready'>;
+  /** Number of control processes that may know what began a stream, connected or not. */
+  readonly controlCount: () => number;
   readonly logger: Logger;
   readonly metrics: ProcessMetrics;
   readonly nowMs: () => number;
@@ -182,7 +184,7 @@
   }
 
   private decide(own: OriginReply, replies: readonly OriginReply[]): OriginVerdict {
-    return decideOrigin({ own, replies, controlCount: this.options.controls.names.length });
+    return decideOrigin({ own, replies, controlCount: this.options.controlCount() });
   }
 
   private ownReply({ key, services }: OriginRequest): OriginReply {
@@ -270,7 +272,7 @@
       evidence,
       ...(verdict.isKnown ? verdict.origin : {}),
       replies,
-      controls: this.options.controls.names.length,
+      controls: this.options.controlCount(),
       tookMs: Math.round(tookMs),
     });
   }
--- a/packages/mesh/src/known-core-members.test.ts
+++ b/packages/mesh/src/known-core-members.test.ts
@@ -29,6 +29,14 @@
     t.deepEqual(knownCore.missing, []);
   });
 
+  test(title('tells which members were listed within some time'), (t) => {
+    const knownCore = new KnownCoreMembers();
+    knownCore.update([control('a'), control('b')], 0);
+    knownCore.update([control('a')], HOUR_MS);
+    t.deepEqual(knownCore.listedSince(HOUR_MS), ['a', 'b']);
+    t.deepEqual(knownCore.listedSince(HOUR_MS + 1), ['a']);
+  });
+
   test(title('does not remember control processes without a disk'), (t) => {
     const knownCore = new KnownCoreMembers();
     knownCore.update([fakeControl('a')], 0);
--- a/packages/mesh/src/known-core-members.ts
+++ b/packages/mesh/src/known-core-members.ts
@@ -22,6 +22,8 @@
   readonly address: PeerAddress;
   lastSeenAtMs: number;
   isMissing: boolean;
+  /** When it was found to be missing; Infinity if it is listed. */
+  missingSinceMs: number;
 }
 
 /** A control process that is listed again. */
@@ -46,7 +48,7 @@
   update(controls: readonly MemberRecord[], nowMs: number): CoreChanges {
     const core = controls.filter(isCore);
     const reappeared = core.flatMap((record) => this.noteSeen(record, nowMs) ?? []);
-    const missing = this.markMissing(new Set(core.map(({ name }) => name)));
+    const missing = this.markMissing(new Set(core.map(({ name }) => name)), nowMs);
     this.removeExpired(nowMs);
     return { missing, reappeared };
   }
@@ -57,6 +59,13 @@
     return all.filter(({ isMissing }) => isMissing).map(({ address }) => address);
   }
 
+  /** Returns the names of the members that are listed now or were at some time after `sinceMs`. */
+  listedSince(sinceMs: number): string[] {
+    return [...this.known]
+      .filter(([, { missingSinceMs }]) => missingSinceMs >= sinceMs)
+      .map(([name]) => name);
+  }
+
   private noteSeen(
     { name, host, port }: MemberRecord,
     nowMs: number,
@@ -66,16 +75,20 @@
       address: { name, host, port },
       lastSeenAtMs: nowMs,
       isMissing: false,
+      missingSinceMs: Infinity,
     });
     if (known?.isMissing !== true) return undefined;
     return { name, silentMs: Math.round(nowMs - known.lastSeenAtMs) };
   }
 
-  private markMissing(live: ReadonlySet<string>): string[] {
+  private markMissing(live: ReadonlySet<string>, nowMs: number): string[] {
     const newlyMissing = [...this.known].filter(
       ([name, control]) => !control.isMissing && !live.has(name),
     );
-    for (const [, control] of newlyMissing) control.isMissing = true;
+    for (const [, control] of newlyMissing) {
+      control.isMissing = true;
+      control.missingSinceMs = nowMs;
+    }
     return newlyMissing.map(([name]) => name);
   }
 
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -116,6 +116,11 @@
     return this.knownCore.missing;
   }
 
+  /** Names of the control processes with a disk that are listed now or were within `withinMs`. */
+  coreListedWithin(withinMs: number): readonly string[] {
+    return this.knownCore.listedSince(this.options.nowMs() - withinMs);
+  }
+
   /** Announces whether this process accepts work. */
   setState(state: MemberState): void {
     this.update({ state });
