Remove old records of streams without scanning removed ones

Cause: iterating a map from its start skips all entries that were removed there, up to half of the map. Change: a list of keys in the order of their records.

--- a/packages/stream-origins/src/origin-records.ts
+++ b/packages/stream-origins/src/origin-records.ts
@@ -19,8 +19,10 @@
 /** Origins of streams that may still be continued, by key. */
 export class OriginRecords {
   private readonly maxRecords: number;
-  /** In the order in which they were recorded. */
   private readonly held = new Map<string, HeldOrigin>();
+  /** Keys in the order in which they were recorded, from `oldest` on; some may have been removed. */
+  private order: string[] = [];
+  private oldest = 0;
 
   constructor({ maxRecords = DEFAULT_MAX_RECORDS }: OriginRecordsOptions = {}) {
     this.maxRecords = maxRecords;
@@ -37,6 +39,7 @@
     if (this.held.has(key)) return;
     const origin = { service, softwareVersion };
     this.held.set(key, { origin, writer, begunAtMs: nowMs - ageMs, keepMs });
+    this.order.push(key);
     this.removeOldest(nowMs);
   }
 
@@ -79,10 +82,16 @@
   }
 
   private removeOldest(nowMs: number): void {
-    for (const [key, held] of this.held) {
-      if (this.held.size <= this.maxRecords && !isExpired(held, nowMs)) return;
+    for (; this.oldest < this.order.length; this.oldest += 1) {
+      const key = this.order[this.oldest] ?? '';
+      const held = this.held.get(key);
+      if (held === undefined) continue;
+      if (this.held.size <= this.maxRecords && !isExpired(held, nowMs)) break;
       this.held.delete(key);
     }
+    if (this.oldest * 2 < this.order.length) return;
+    this.order = this.order.slice(this.oldest);
+    this.oldest = 0;
   }
 }
 
