Estimate the wait of a continued stream by its version's share of those ahead

Cause, by reading: a request that only one version may serve counted everybody ahead of it against the slots of that version alone, so that it was refused or broken off in an overload though its turn would have come. Change: those ahead count in proportion to the slots. The log says why a stream was not continued. Evidence: 'is not refused because of requests that others may serve' fails without the proportion.

--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -44,7 +44,13 @@
     this.free.set(endpointId, (this.free.get(endpointId) ?? 0) - 1);
   }
 
-  capacity(_service: string, excluded: ReadonlySet<string>): { slots: number; entryCount: number } {
+  capacity(
+    _service: string,
+    excluded: ReadonlySet<string>,
+    softwareVersion?: string,
+  ): { slots: number; entryCount: number } {
+    if (softwareVersion !== undefined)
+      return { slots: this.slots / this.versions.size, entryCount: 1 };
     // All slots belong to one endpoint.
     return { slots: excluded.has('e') ? 0 : this.slots, entryCount: 1 };
   }
@@ -167,6 +173,20 @@
       t.deepEqual(order, ['free', 'bound']);
     });
 
+    // Those ahead of it also take slots of the other versions.
+    test(title('is not refused because of requests that others may serve'), async (t) => {
+      const all = setup(8, { after: () => undefined });
+      all.finder.versions.set('old', 'v1').set('new', 'v2');
+      all.queue.ended(SERVICE, { runMs: 600 });
+      const others = Array.from({ length: 16 }, (_, index) => [`other ${index}`, request()]);
+      const order = collectOrder(all, {
+        ...(Object.fromEntries(others) as Record<string, EndpointQueueRequest>),
+        bound: request({ softwareVersion: 'v1', deadlineMs: 2400 }),
+      });
+      await settled();
+      t.deepEqual(order, []);
+    });
+
     test(title('is refused at once if no endpoint of it is up'), async (t) => {
       const all = setup(8);
       all.finder.versions.set('new', 'v2');
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -318,10 +318,13 @@
       return true;
     if (capacity.slots === 0) return nowMs - enqueuedAtMs >= this.finder.announcedWithinMs;
     const estimate = this.estimateOf(service);
+    // Those ahead take slots of all versions, in proportion.
+    const share = softwareVersion === undefined ? 1 : capacity.slots / scan.capacity.slots;
+    const lateAhead = Math.ceil(scan.remainingLateCount * share);
     const isLate = timelinessOf(request, nowMs) === 'late';
-    if (isLate && estimate.hasTooManyLateAhead(request, scan.remainingLateCount, capacity, nowMs))
-      return true;
-    return estimate.willMissDeadline(request, scan.remainingCount, capacity, nowMs);
+    if (isLate && estimate.hasTooManyLateAhead(request, lateAhead, capacity, nowMs)) return true;
+    const ahead = Math.ceil(scan.remainingCount * share);
+    return estimate.willMissDeadline(request, ahead, capacity, nowMs);
   }
 
   private remove(waiter: Waiter, endpoint: ChosenEndpoint | undefined): void {
--- a/packages/forwarding/src/forward-log.ts
+++ b/packages/forwarding/src/forward-log.ts
@@ -82,13 +82,24 @@
     });
   }
 
-  /** Logs that no endpoint of the software version that began the stream can continue it. */
-  notContinued(softwareVersion: string, resumeAfterEventId: string | undefined): void {
+  /** Logs that a stream cannot continue at the software version that began it. */
+  notContinued({
+    softwareVersion,
+    resumeAfterEventId,
+    isWriterCertain,
+  }: {
+    readonly softwareVersion: string;
+    readonly resumeAfterEventId: string | undefined;
+    readonly isWriterCertain: boolean;
+  }): void {
     const { requestId, resumesRequestId } = this.task.request;
-    this.logger.info('stream not continued: no endpoint of its software version is available', {
+    this.logger.info('stream not continued', {
       step: 'forward',
       request: requestId,
       softwareVersion,
+      reason: isWriterCertain
+        ? 'no endpoint of its software version is available'
+        : 'the endpoint that began it may have restarted as another version',
       ...(resumeAfterEventId === undefined ? {} : { resumeAfterEventId }),
       ...(resumesRequestId === undefined ? {} : { resumes: resumesRequestId }),
     });
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -87,14 +87,17 @@
     let step = this.content.needsAdmission ? await this.firstStep() : this.plan.first();
     while (step.action === 'send') {
       if (this.hasCallerLeft()) return this.close('callerGone');
-      const endpoint = this.isWriterCertain ? await this.findEndpoint() : undefined;
+      const { isWriterCertain } = this;
+      const endpoint = isWriterCertain ? await this.findEndpoint() : undefined;
       if (this.hasCallerLeft()) {
         if (endpoint !== undefined) this.releaseSlot(endpoint.endpointId, { kind: 'stopped' });
         return this.close('callerGone');
       }
       if (endpoint === undefined) {
-        if (this.softwareVersion !== undefined)
-          this.log.notContinued(this.softwareVersion, step.resumeAfterEventId);
+        const { softwareVersion } = this;
+        const { resumeAfterEventId } = step;
+        if (softwareVersion !== undefined)
+          this.log.notContinued({ softwareVersion, resumeAfterEventId, isWriterCertain });
         const nextSlotInMs = this.queue.nextSlotInMs(this.task.service);
         step = this.plan.giveUp(this.options.nowMs(), nextSlotInMs);
         break;
