--- a/packages/stream-origins/src/origin-records.ts
+++ b/packages/stream-origins/src/origin-records.ts
@@ -1,3 +1,6 @@
+/**
+ * Records of what began streams, held for a limited time by entries and control processes.
+ */
 import type { OriginRecord, StreamOrigin } from './messages.js';
 
 /** About 200 bytes each. */
--- a/packages/stream-origins/src/seen-versions.ts
+++ b/packages/stream-origins/src/seen-versions.ts
@@ -1,3 +1,7 @@
+/**
+ * Remembers which software versions of each service have served lately. A stream without a record can
+ * only have begun at one of them.
+ */
 import { STREAM_KEEP_MS } from './messages.js';
 import type { StreamOrigin } from './messages.js';
 
