Confirm an incarnation only by connections that are read all the time

Callers could get a stream of two versions although its endpoint was confirmed. Cause, by reading: a response in progress vouched for the process at its address although its connection is read every 100 ms only (items) or is paused, so that its end is noticed late; and a process that ends closes its connections one after the other, while the next one already accepts some. Change: such connections do not count, and the others are looked at 50 ms after the response began. Evidence: 'counts responses in progress whose connections are read all the time' fails without the change, at the items, where it stops.

--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -65,6 +65,51 @@
 /** Enough for data to arrive on the loopback interface; shorter than the batches. */
 const ARRIVAL_MS = 20;
 
+describe('sameProcessSinceMs', () => {
+  // Guards against a process that ended being taken for its successor.
+  test(title('counts responses in progress whose connections are read all the time'), async (t) => {
+    const server = await startEndpoint((socket) => {
+      socket.write(`${STREAM_HEAD}${chunk('id: 1\ndata: a\n\n')}`);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const cases = { read: 1, batch: 0, paused: 0, ended: 0 };
+    for (const [kind, count] of Object.entries(cases)) {
+      const sender = createSender();
+      const received = new Promise<void>((resolve) => {
+        const running = sender.send(
+          {
+            endpointId: 'e',
+            address,
+            requestId: REQUEST_ID,
+            method: 'POST',
+            path: '/',
+            headers: [],
+            body: Buffer.from('body'),
+            mayBeRepeated: true,
+            isBatch: kind === 'batch',
+          },
+          {
+            onHead: () => undefined,
+            onPart: () => {
+              setImmediate(() => {
+                if (kind === 'ended') running.stop();
+                resolve();
+              });
+              return kind !== 'paused';
+            },
+          },
+        );
+      });
+      await received;
+      await pause(ARRIVAL_MS);
+      t.is(Number.isFinite(sender.sameProcessSinceMs(address)), count === 1, kind);
+      await sender.destroy();
+    }
+    server.close();
+  });
+});
+
 interface SendOptions {
   readonly silenceLimitMs?: number;
   readonly isBatch?: boolean;
--- a/packages/forwarding/src/send-handler.ts
+++ b/packages/forwarding/src/send-handler.ts
@@ -95,9 +95,13 @@
     return this.request.endpointId === endpointId;
   }
 
-  /** Since when the connection is known to be open; Infinity if it is not known or has ended. */
+  /**
+   * Since when the connection is known to be open; Infinity if it has ended, or is not read all the time, so
+   * that its end would be noticed late.
+   */
   get openSinceMs(): number {
-    return this.hasEnded || this.isStopped ? Infinity : this.firstReceivedAtMs;
+    const isRead = !this.isPaused && this.request.isBatch !== true;
+    return this.hasEnded || this.isStopped || !isRead ? Infinity : this.firstReceivedAtMs;
   }
 
   /** Whether a response is in progress. */
--- a/packages/gateway/src/endpoint-pool.test.ts
+++ b/packages/gateway/src/endpoint-pool.test.ts
@@ -157,6 +157,8 @@
 describe('confirmation of an incarnation', () => {
   const ID = 'a';
   const RUN = `${ID}#1`;
+  /** Time after which the connections to the endpoint have been checked. */
+  const CHECKED_MS = 80;
 
   // An endpoint may have restarted under its id, at another software version, a moment ago.
   test(title('waits for a heartbeat sent after the response began'), async (t) => {
@@ -164,7 +166,7 @@
     setup.observeRun(ID, 1, 1);
     setup.nowMs += 100;
     const confirmed = setup.pool.confirmServing(RUN);
-    await pause(0);
+    await pause(CHECKED_MS);
     setup.pool.observeHeartbeats([
       { ...heartbeatOf({ endpointId: ID, startedAtMs: 1, sequence: 2 }), ageMs: 50 },
     ]);
@@ -187,7 +189,7 @@
     setup.observeRun(ID, 1, 1);
     setup.nowMs += 100;
     const confirmed = setup.pool.confirmServing(RUN);
-    await pause(0);
+    await pause(CHECKED_MS);
     setup.observeRun(ID, 2, 1);
     t.false(await confirmed);
     t.false(await setup.pool.confirmServing(RUN));
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -2,7 +2,7 @@
  * The endpoints known to an entry: which of them may take work, and their load. Each incarnation of
  * an endpoint is tracked as a separate endpoint, under its run id.
  */
-import { setImmediate } from 'node:timers/promises';
+import { setTimeout as pause } from 'node:timers/promises';
 import type { WaitingCapacity } from '@shedline/admission';
 import { EndpointDirectory, LeaseClock } from '@shedline/directory';
 import type { KnownEndpoint, ZonedName } from '@shedline/directory';
@@ -24,6 +24,11 @@
 const HEARTBEATS_TO_CONFIRM = 1.25;
 /** Time within which entries then read it: control processes are polled every 500 ms. */
 const CONFIRMATION_READ_MS = 700;
+/**
+ * Time that a process which has ended may take to close its connections; the next one may already accept
+ * some at its address.
+ */
+const PROCESS_END_MS = 50;
 /** Number of replaced incarnations that are remembered; streams last far shorter. */
 const MAX_IN_DOUBT = 1000;
 /** Consecutive failures that eject an endpoint; a failed connection attempt ejects it at once. */
@@ -390,8 +395,7 @@
   }
 
   async confirmServing(endpointId: string): Promise<boolean> {
-    // The ends of the connections of a process that has ended are read before the next check.
-    await setImmediate();
+    await pause(PROCESS_END_MS);
     const known = this.latestHeartbeats.get(endpointIdOf(endpointId));
     if (known === undefined || runIdOf(known) !== endpointId) return false;
     if (known.startedAtMs === UNKNOWN_START_MS) return true;
