--- a/packages/forwarding/src/end-verifier.test.ts
+++ b/packages/forwarding/src/end-verifier.test.ts
@@ -27,6 +27,7 @@
 const REQUEST_ARRIVAL_MS = 30;
 
 const PROTOCOL: EndpointProtocol = {
+  sharedPartsOf: () => [],
   sendHeaders: () => [],
   readHead: (status, headers) => ({
     status,
--- a/packages/forwarding/src/endpoint-sender.test.ts
+++ b/packages/forwarding/src/endpoint-sender.test.ts
@@ -13,6 +13,7 @@
   `Id: ${REQUEST_ID}\r\nTransfer-Encoding: chunked\r\n\r\n`;
 
 const PROTOCOL: EndpointProtocol = {
+  sharedPartsOf: () => [],
   sendHeaders: () => [],
   readHead: (status, headers): EndpointHead => {
     const value = (name: string): string | undefined => {
--- a/packages/forwarding/src/forward-log.ts
+++ b/packages/forwarding/src/forward-log.ts
@@ -6,6 +6,9 @@
 import type { SendResult } from './endpoint-sender.js';
 import type { ForwardEnd, ForwardTask } from './forward-task.js';
 
+/** Maximum number of parts of a prompt in a log record. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Figures of a finished request, for its last log record. */
 export interface ForwardSummary {
   readonly sends: number;
@@ -31,9 +34,11 @@
       readonly send: number;
       readonly timeLeftMs: number;
       readonly resumeAfterEventId: string | undefined;
+      /** Ids of the parts of its prompt that other requests may share. */
+      readonly sharedParts: readonly string[];
     },
   ): void {
-    const { resumeAfterEventId, ...numbers } = details;
+    const { resumeAfterEventId, sharedParts, ...numbers } = details;
     const { resumesRequestId } = this.task.request;
     this.logger.info('request sent', {
       ...this.endpointFields(endpoint),
@@ -41,6 +46,7 @@
       version: this.task.version,
       load: endpoint.load,
       ...numbers,
+      ...(sharedParts.length === 0 ? {} : { parts: loggedParts(sharedParts) }),
       ...(resumeAfterEventId === undefined ? {} : { resumeAfterEventId }),
       ...(resumesRequestId === undefined ? {} : { resumes: resumesRequestId }),
     });
@@ -126,3 +132,10 @@
     return { step: 'forward', request: requestId, endpoint: endpointId, peer: address };
   }
 }
+
+/** Returns the parts of a prompt for a log record, comma-separated; further ones are only counted. */
+export function loggedParts(parts: readonly string[]): string {
+  const omitted = parts.length - MAX_LOGGED_PARTS;
+  const listed = parts.slice(0, MAX_LOGGED_PARTS).join(',');
+  return omitted > 0 ? `${listed},+${omitted}` : listed;
+}
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -237,7 +237,12 @@
     this.holdsSlot = true;
     const knownCrashes = this.content.crashes;
     const timeLeftMs = this.plan.timeLeftMs(nowMs());
-    this.log.sent(endpoint, { send: this.tried.size, timeLeftMs, resumeAfterEventId });
+    this.log.sent(endpoint, {
+      send: this.tried.size,
+      timeLeftMs,
+      resumeAfterEventId,
+      sharedParts: protocol.sharedPartsOf(request.headers),
+    });
     const sentAtMs = nowMs();
     this.firstPartMs = undefined;
     const gate = this.createGate(endpoint, resumeAfterEventId !== undefined);
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -118,6 +118,7 @@
 }
 
 const PROTOCOL: EndpointProtocol = {
+  sharedPartsOf: () => [],
   sendHeaders: () => [],
   readHead: () => {
     throw new Error('no response is expected');
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from './endpoint-sender.js';
 export * from './endpoint-queue.js';
 export * from './event-framer.js';
+export { loggedParts } from './forward-log.js';
 export * from './forward-task.js';
 export * from './forwarder.js';
 export { isBroken } from './guarded-content.js';
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -61,6 +61,8 @@
 export interface EndpointProtocol {
   /** Returns the headers of a send. */
   sendHeaders(request: CallerRequest, terms: SendTerms): RawHeaders;
+  /** Returns the ids of the parts of a request's prompt that other requests may share, in order. */
+  sharedPartsOf(headers: RawHeaders): readonly string[];
   /** Interprets the status and headers of a response. */
   readHead(status: number, headers: RawHeaders): EndpointHead;
 }
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -43,6 +43,7 @@
 };
 
 const PROTOCOL: EndpointProtocol = {
+  sharedPartsOf: () => [],
   sendHeaders: ({ requestId }) => ['Id', requestId],
   readHead: (status, headers): EndpointHead => ({
     status,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -53,6 +53,8 @@
   readonly address: string;
   readonly origin: StreamOrigin;
   readonly startedAtMs: number;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[];
   readonly result: Promise<SendResult>;
   /** Whether this run started from the beginning, not from the progress of previous runs. */
   readonly isFromStart: boolean;
@@ -85,6 +87,7 @@
     this.resumedAfterEvents = this.pieces.length;
     this.lastEventId = progress?.lastEventId;
     const request = callerRequestOf(granted);
+    this.sharedParts = protocol.sharedPartsOf(request.headers);
     const terms = { endpointId, timeLeftMs: undefined, resumeAfterEventId: this.lastEventId };
     this.sending = sender.send(
       {
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -203,6 +203,7 @@
 };
 
 const PROTOCOL: EndpointProtocol = {
+  sharedPartsOf: () => [],
   sendHeaders: () => [],
   readHead: (status) => ({ ...HEAD, status }),
 };
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -7,7 +7,7 @@
 import type { GroupCaller } from '@shedline/control-client';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import type { GrantedItem } from '@shedline/fleet-control';
-import { isBroken } from '@shedline/forwarding';
+import { isBroken, loggedParts } from '@shedline/forwarding';
 import type { EndpointProtocol, RequestSender, SendResult } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import type { SlotCandidate } from '@shedline/routing';
@@ -479,6 +479,7 @@
       index,
       endpoint: run.endpointId,
       softwareVersion: run.origin.softwareVersion,
+      ...(run.sharedParts.length === 0 ? {} : { parts: loggedParts(run.sharedParts) }),
       run: run.runNumber,
       resumedAfterEvents: run.resumedAfterEvents,
       outcome,
