Quarantine the prompt parts that crash endpoints

Callers saw 502 and broken streams: requests with one part in their prompts ended 33 endpoints in a minute, as no two of them were alike and only whole contents were remembered. Root cause: a crash was attributed to one name of what brought it about, the content, and not to what requests have in common.

One record and one rule now hold for all features of a request: its content, and each part of its prompt but the last, at the service and software version of the endpoint. A crash counts against all of them, a run to its end clears them. Of the quarantined features of a request those are explained away whose crashes are also crashes of another one that it lacks; it then is a trial at once, so sound requests that share parts with crashing ones go on. Failures and unconfirmed responses are no evidence any more, and a trial is one send, also where the request could be sent again.

The limits in the tests of quarantine are as before but for the number of records (512 to 2048, as a crash adds the parts of each request).

--- a/packages/forwarding/src/forward-log.ts
+++ b/packages/forwarding/src/forward-log.ts
@@ -2,6 +2,7 @@
  * Log records of one forwarded request: one for each decision, with the values that it depended on.
  */
 import type { Logger } from '@shedline/logger';
+import type { Quarantine } from './content-guard.js';
 import type { ChosenEndpoint } from './endpoint-queue.js';
 import type { SendResult } from './endpoint-sender.js';
 import type { ForwardEnd, ForwardTask } from './forward-task.js';
@@ -77,14 +78,15 @@
     });
   }
 
-  /** Logs that the request is not sent because its content crashes endpoints. */
-  quarantined(content: string, crashes: number, retryAfterMs: number): void {
-    this.logger.info('request refused: its content is quarantined', {
+  /** Logs that the request is not sent because one of its features crashes endpoints. */
+  quarantined({ featureKey, crashes, isConfirmed, forMs }: Quarantine): void {
+    this.logger.info('request refused: one of its features is quarantined', {
       step: 'hold',
       request: this.task.request.requestId,
-      content,
+      feature: featureKey,
       crashes,
-      retryAfterMs: Math.round(retryAfterMs),
+      isConfirmed,
+      retryAfterMs: Math.round(forMs),
     });
   }
 
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -27,6 +27,8 @@
    * far as is known.
    */
   isWriterCertain(endpointId: string, atMs: number): boolean;
+  /** Returns the software versions of the endpoints of a service that are up. */
+  softwareVersionsOf(service: string): readonly string[];
   /** Whether a request at the endpoint may be queued there. */
   mayBeQueued(endpointId: string): boolean;
 }
@@ -58,7 +60,7 @@
   readonly sender: RequestSender;
   readonly protocol: EndpointProtocol;
   readonly chooser: EndpointChooser;
-  /** Quarantine of request content; none if omitted. */
+  /** Quarantine of features of requests; none if omitted. */
   readonly guard?: ContentGuard;
   readonly logger: Logger;
   readonly nowMs: () => number;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -7,6 +7,7 @@
 import { ContinuationGate } from './continuation-gate.js';
 import { ForwardLog } from './forward-log.js';
 import type { ForwardEnd, ForwardTask, ForwarderOptions } from './forward-task.js';
+import type { Quarantine } from './content-guard.js';
 import { GuardedContent } from './guarded-content.js';
 import type { EndpointHead } from './protocol.js';
 import { RequestPlan } from './request-plan.js';
@@ -26,6 +27,9 @@
  */
 const MIN_CALLER_TIMEOUT_MS = 2000;
 
+/** Number of times that a request is admitted again because its endpoint may not run it. */
+const MAX_READMISSIONS = 3;
+
 /** Result of a continued stream whose endpoint may be another incarnation. */
 const UNCONFIRMED_RESULT = {
   kind: 'ended',
@@ -40,6 +44,8 @@
   private readonly plan: RequestPlan;
   private readonly content: GuardedContent;
   private readonly log: ForwardLog;
+  /** Ids of the parts of its prompt that other requests may share. */
+  private readonly sharedParts: readonly string[];
   private readonly tried = new Set<string>();
   private readonly startedAtMs: number;
   private isCallerGone = false;
@@ -50,6 +56,9 @@
   private beginning: { readonly endpointId: string; readonly atMs: number } | undefined;
   /** Software version whose events the caller has; only endpoints of it may continue the stream. */
   private softwareVersion: string | undefined;
+  /** Software version to which the guard has restricted the request. */
+  private admittedVersion: string | undefined;
+  private readmissions = 0;
   private running: RunningSend | undefined;
   private firstPartMs: number | undefined;
   /** Whether the request had passed its target when its endpoint was chosen. */
@@ -65,8 +74,15 @@
     this.log = new ForwardLog(options.logger, task);
     this.startedAtMs = options.nowMs();
     this.softwareVersion = task.softwareVersion;
-    const { route, request, deadlineMs } = task;
-    this.content = new GuardedContent({ guard: options.guard, host: route.host, request });
+    const { route, request, service, deadlineMs } = task;
+    this.sharedParts = options.protocol.sharedPartsOf(request.headers);
+    this.content = new GuardedContent({
+      guard: options.guard,
+      host: route.host,
+      request,
+      service,
+      sharedParts: this.sharedParts,
+    });
     this.plan = new RequestPlan({
       kind: route.kind,
       isResumable: route.isResumable,
@@ -84,7 +100,8 @@
   }
 
   async run(): Promise<ForwardEnd> {
-    let step = this.content.needsAdmission ? await this.firstStep() : this.plan.first();
+    const refusal = this.content.needsAdmission ? await this.admit() : undefined;
+    let step = refusal ?? this.plan.first();
     while (step.action === 'send') {
       if (this.hasCallerLeft()) return this.close('callerGone');
       const { isWriterCertain } = this;
@@ -102,11 +119,15 @@
         step = this.plan.giveUp(this.options.nowMs(), nextSlotInMs);
         break;
       }
-      // Its content may have been quarantined while it waited or after its previous send.
-      const { quarantinedForMs } = this.content;
-      if (quarantinedForMs > 0) {
+      // A feature may have been quarantined while it waited or after its previous send.
+      const quarantine = this.content.quarantineAt(endpoint.softwareVersion);
+      if (quarantine !== undefined) {
         this.releaseSlot(endpoint.endpointId, { kind: 'stopped' });
-        step = this.refuseQuarantined(quarantinedForMs);
+        this.readmissions += 1;
+        const isFinal = this.readmissions > MAX_READMISSIONS;
+        const verdict = isFinal ? this.refuseQuarantined(quarantine) : await this.admit();
+        if (verdict === undefined) continue;
+        step = verdict;
         break;
       }
       const result = await this.sendTo(endpoint, step.resumeAfterEventId);
@@ -126,18 +147,26 @@
     return this.hasCallerLeft() ? this.close('callerGone') : this.finish(step);
   }
 
-  private async firstStep(): Promise<PlanStep> {
-    const quarantinedForMs = await this.content.admit();
-    return quarantinedForMs > 0 ? this.refuseQuarantined(quarantinedForMs) : this.plan.first();
+  /** Asks the guard where the request may be sent; returns the refusal if nowhere. */
+  private async admit(): Promise<PlanStep | undefined> {
+    const { softwareVersion } = this;
+    const admission = await this.content.admit(
+      softwareVersion === undefined
+        ? this.options.chooser.softwareVersionsOf(this.task.service)
+        : [softwareVersion],
+    );
+    if (!admission.isAdmitted) return this.refuseQuarantined(admission.quarantine);
+    this.admittedVersion = admission.softwareVersion;
+    return undefined;
   }
 
   /**
-   * Gives up a request whose content is quarantined. If it was not executed yet, its caller is
-   * asked to retry after the quarantine.
+   * Gives up a request with a quarantined feature. If it was not executed yet, its caller is asked to
+   * retry after the quarantine.
    */
-  private refuseQuarantined(remainingMs: number): PlanStep {
-    this.log.quarantined(this.content.key, this.content.crashes, remainingMs);
-    return this.plan.giveUp(this.options.nowMs(), remainingMs);
+  private refuseQuarantined(quarantine: Quarantine): PlanStep {
+    this.log.quarantined(quarantine);
+    return this.plan.giveUp(this.options.nowMs(), quarantine.forMs);
   }
 
   /** Whether the caller has disconnected; checked again after each wait. */
@@ -154,6 +183,7 @@
   private async findEndpoint(): Promise<ChosenEndpoint | undefined> {
     const { nowMs } = this.options;
     const { service, rank, route, request, deadlineMs, firstAttemptAtMs } = this.task;
+    const softwareVersion = this.softwareVersion ?? this.admittedVersion;
     const sinceMs = nowMs();
     this.ticket = this.queue.enter({
       service,
@@ -161,7 +191,7 @@
       // If every endpoint was tried, one that refused the request may have a free slot by now.
       mayRetryTried: !this.plan.isInDoubt,
       rank,
-      ...(this.softwareVersion === undefined ? {} : { softwareVersion: this.softwareVersion }),
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
       ...(request.workspace === undefined ? {} : { workspace: request.workspace }),
       targetDeadlineMs: this.isHeadSent
         ? sinceMs + route.longestPauseMs
@@ -235,13 +265,13 @@
     const { endpointId, address } = endpoint;
     this.tried.add(endpointId);
     this.holdsSlot = true;
-    const knownCrashes = this.content.crashes;
+    const knowledge = this.content.knowledgeAt(endpoint.softwareVersion);
     const timeLeftMs = this.plan.timeLeftMs(nowMs());
     this.log.sent(endpoint, {
       send: this.tried.size,
       timeLeftMs,
       resumeAfterEventId,
-      sharedParts: protocol.sharedPartsOf(request.headers),
+      sharedParts: this.sharedParts,
     });
     const sentAtMs = nowMs();
     this.firstPartMs = undefined;
@@ -293,7 +323,8 @@
     if (result.kind !== 'complete') {
       this.log.sendEnded(endpoint, result, { hasBegun, content: this.content.key });
     }
-    this.content.sendEnded(endpoint, result, { knownCrashes, hasBegun });
+    if (result !== UNCONFIRMED_RESULT)
+      this.content.sendEnded(endpoint, result, { ...knowledge, hasBegun });
     return result;
   }
 
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -83,6 +83,10 @@
     return Promise.resolve(true);
   }
 
+  softwareVersionsOf(): readonly string[] {
+    return [''];
+  }
+
   isWriterCertain(): boolean {
     return true;
   }
--- a/packages/forwarding/src/guarded-content.ts
+++ b/packages/forwarding/src/guarded-content.ts
@@ -1,94 +1,161 @@
 /**
- * Checks the content of one request with the content guard. The content key is computed only if
- * some content is suspected or a send broke, as it hashes the whole body: 7.5 us for 1.5 KB and 28
- * us for 15 KB.
+ * Checks the features of one request with the content guard. The keys are computed only if some
+ * feature is suspected or a send broke, as the key of the content hashes the whole body: 7.5 us for
+ * 1.5 KB and 28 us for 15 KB.
  */
+import { partKeyOf } from '@shedline/quarantine';
 import { NOOP_GUARD } from './content-guard.js';
-import type { BrokenSend, ContentGuard } from './content-guard.js';
+import type { ContentGuard, Quarantine } from './content-guard.js';
 import type { ChosenEndpoint } from './endpoint-queue.js';
 import type { SendResult } from './endpoint-sender.js';
 import type { CallerRequest } from './protocol.js';
 import { contentKeyOf } from './request-content.js';
 
+/** Maximum number of parts of a prompt that are checked and counted. */
+const MAX_PARTS = 64;
+
 /** Options of {@link GuardedContent}. */
 export interface GuardedContentOptions {
-  /** Quarantine of request content; none if undefined. */
+  /** Quarantine of features of requests; none if undefined. */
   readonly guard: ContentGuard | undefined;
   readonly host: string;
   readonly request: CallerRequest;
+  readonly service: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[];
 }
 
-/** The content of one request and its state at the guard. */
+/** Where a request may run. */
+export type ContentAdmission =
+  | {
+      readonly isAdmitted: true;
+      /** Software version that must serve the request, if not all versions may. */
+      readonly softwareVersion?: string;
+    }
+  | { readonly isAdmitted: false; readonly quarantine: Quarantine };
+
+/** What was known of the features of a request when it was sent. */
+export interface SendKnowledge {
+  /** Endpoint crashes attributed to each feature; undefined if there were none at all. */
+  readonly crashCounts: readonly number[] | undefined;
+  /** Number of earlier sends of the request whose connection broke. */
+  readonly brokenSends: number;
+}
+
+/** The features of one request and their state at the guard. */
 export class GuardedContent {
   private readonly guard: ContentGuard;
-  private readonly host: string;
-  private readonly request: CallerRequest;
+  private readonly options: GuardedContentOptions;
   private cachedKey: string | undefined;
   /** Number of sends of this request whose connection broke. */
   private brokenSends = 0;
-  /** Whether the fleet admitted this request as the trial request of quarantined content. */
-  private isTrialRequest = false;
+  /** Software version at which the fleet admitted one send of this request as a trial. */
+  private trialVersion: string | undefined;
 
-  constructor({ guard, host, request }: GuardedContentOptions) {
-    this.guard = guard ?? NOOP_GUARD;
-    this.host = host;
-    this.request = request;
+  constructor(options: GuardedContentOptions) {
+    this.options = options;
+    this.guard = options.guard ?? NOOP_GUARD;
   }
 
   /** Key of the content; see {@link contentKeyOf}. */
   get key(): string {
-    this.cachedKey ??= contentKeyOf(this.host, this.request);
+    this.cachedKey ??= contentKeyOf(this.options.host, this.options.request);
     return this.cachedKey;
   }
 
-  /** Whether {@link admit} has to be called; false while no content is suspected. */
+  /** Whether {@link admit} has to be called; false while no feature is suspected. */
   get needsAdmission(): boolean {
     return !this.guard.isIdle;
   }
 
-  /** Number of endpoint crashes attributed to the content, as known when it is sent. */
-  get crashes(): number {
-    const known = this.guard.isIdle ? 0 : this.guard.crashCountOf(this.key);
-    return Math.max(known, this.brokenSends);
+  /** Returns what is known of the features at a software version. */
+  knowledgeAt(softwareVersion: string): SendKnowledge {
+    const { brokenSends, guard } = this;
+    if (guard.isIdle) return { crashCounts: undefined, brokenSends };
+    const crashCounts = this.keysAt(softwareVersion).map((key) => guard.crashCountOf(key));
+    return { crashCounts, brokenSends };
   }
 
   /**
-   * Asks whether the content may be sent; returns its remaining quarantine time, 0 if it may be
-   * sent.
+   * Asks where the request may be sent: at a software version that executes it as far as is known,
+   * or else as a trial.
    */
-  async admit(): Promise<number> {
-    const isQuarantined = this.guard.quarantinedForMs(this.key) > 0;
-    const admission = await this.guard.admit(this.key);
-    if (!admission.isAdmitted) return admission.retryAfterMs;
-    this.isTrialRequest = isQuarantined;
-    return 0;
+  async admit(softwareVersions: readonly string[]): Promise<ContentAdmission> {
+    const free = softwareVersions.filter((version) => this.isFreeAt(version));
+    if (free.length === softwareVersions.length) return { isAdmitted: true };
+    const [softwareVersion] = free;
+    if (softwareVersion !== undefined) return { isAdmitted: true, softwareVersion };
+    let soonest: Quarantine | undefined;
+    for (const version of softwareVersions) {
+      const featureKeys = this.keysAt(version);
+      const admission = await this.guard.admit(featureKeys);
+      if (admission.isAdmitted) {
+        this.trialVersion = version;
+        return { isAdmitted: true, softwareVersion: version };
+      }
+      const quarantine = this.guard.quarantineOf(featureKeys);
+      if (quarantine === undefined) return { isAdmitted: true, softwareVersion: version };
+      const forMs = admission.retryAfterMs;
+      if (soonest === undefined || forMs < soonest.forMs) soonest = { ...quarantine, forMs };
+    }
+    return soonest === undefined
+      ? { isAdmitted: true }
+      : { isAdmitted: false, quarantine: soonest };
   }
 
   /**
-   * Current remaining quarantine time: the content may have been quarantined since it was admitted.
+   * Returns what keeps the request from a software version: a feature may have been quarantined since
+   * the request was admitted.
    */
-  get quarantinedForMs(): number {
-    return this.guard.isIdle || this.isTrialRequest ? 0 : this.guard.quarantinedForMs(this.key);
+  quarantineAt(softwareVersion: string): Quarantine | undefined {
+    if (this.guard.isIdle || this.trialVersion === softwareVersion) return undefined;
+    return this.guard.quarantineOf(this.keysAt(softwareVersion));
   }
 
-  /** Reports the end of a send to the guard. */
+  /** Reports the end of a send to the guard; `hasBegun`: a part of the response was received. */
   sendEnded(
-    { endpointId, address }: ChosenEndpoint,
+    { endpointId, address, softwareVersion }: ChosenEndpoint,
     result: SendResult,
-    send: Pick<BrokenSend, 'knownCrashes' | 'hasBegun'>,
+    { crashCounts = [], brokenSends, hasBegun }: SendKnowledge & { readonly hasBegun: boolean },
   ): void {
+    if (hasReachedEndpoint(result)) this.trialVersion = undefined;
     if (isBroken(result)) {
       this.brokenSends += 1;
-      const { requestId } = this.request;
-      const contentKey = this.key;
-      this.guard.noteBrokenSend({ endpointId, address, requestId, contentKey, ...send });
+      const { requestId } = this.options.request;
+      const features = this.keysAt(softwareVersion).map((featureKey, index) => ({
+        featureKey,
+        knownCrashes: Math.max(crashCounts[index] ?? 0, brokenSends),
+      }));
+      this.guard.noteBrokenSend({ endpointId, address, requestId, features, hasBegun });
       return;
     }
-    const isExecuted = result.kind === 'complete' || result.kind === 'failure';
-    if (isExecuted && !this.guard.isIdle) this.guard.noteExecuted(this.key);
+    // A failure may have been sent before the endpoint began to execute the request.
+    const isExecuted = result.kind === 'complete' && hasBegun;
+    if (isExecuted && !this.guard.isIdle) this.guard.noteExecuted(this.keysAt(softwareVersion));
+  }
+
+  private isFreeAt(softwareVersion: string): boolean {
+    return this.guard.quarantineOf(this.keysAt(softwareVersion)) === undefined;
+  }
+
+  private keysAt(softwareVersion: string): string[] {
+    const { service, sharedParts } = this.options;
+    return [this.key, ...partKeysOf({ service, sharedParts, softwareVersion })];
   }
 }
 
+/** Returns the keys of the parts of a prompt at a software version of a service. */
+export function partKeysOf({
+  service,
+  sharedParts,
+  softwareVersion,
+}: Pick<GuardedContentOptions, 'service' | 'sharedParts'> & {
+  readonly softwareVersion: string;
+}): string[] {
+  const partIds = new Set(sharedParts.slice(0, MAX_PARTS));
+  return [...partIds].map((partId) => partKeyOf({ partId, service, softwareVersion }));
+}
+
 /**
  * Whether the connection broke. An unresponsive endpoint doesn't count: it may still execute the
  * request.
@@ -98,3 +165,8 @@
   const { outcome } = result;
   return (outcome.kind === 'lost' || outcome.kind === 'brokeOff') && outcome.isSilence !== true;
 }
+
+function hasReachedEndpoint(result: SendResult): boolean {
+  if (result.kind !== 'ended') return true;
+  return result.outcome.kind !== 'notSent' && result.outcome.kind !== 'refused';
+}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,7 +10,7 @@
 export { loggedParts } from './forward-log.js';
 export * from './forward-task.js';
 export * from './forwarder.js';
-export { isBroken } from './guarded-content.js';
+export { isBroken, partKeysOf } from './guarded-content.js';
 export * from './listening-probe.js';
 export * from './protocol.js';
 export * from './request-content.js';
--- a/packages/forwarding/src/silent-connections.test.ts
+++ b/packages/forwarding/src/silent-connections.test.ts
@@ -124,6 +124,10 @@
     return Promise.resolve(true);
   }
 
+  softwareVersionsOf(): readonly string[] {
+    return [''];
+  }
+
   isWriterCertain(): boolean {
     return true;
   }
--- a/packages/gateway/src/crash-guard.test.ts
+++ b/packages/gateway/src/crash-guard.test.ts
@@ -55,16 +55,22 @@
     if (crashes !== undefined) this.guard.applyChanges(crashes, 'control');
   }
 
-  /** Simulates a crash of an endpoint while it processes a content. */
-  crash(contentKey: string, hasBegun = false): void {
-    this.guard.noteBrokenSend(
-      brokenSend(contentKey, this.guard.crashCountOf(contentKey), hasBegun),
-    );
+  /** Simulates a crash of an endpoint while it processes a request with these features. */
+  crash(featureKeys: string | readonly string[], hasBegun = false, endpointId = nextId()): void {
+    const features = [featureKeys].flat().map((featureKey) => {
+      return { featureKey, knownCrashes: this.guard.crashCountOf(featureKey) };
+    });
+    const send: BrokenSend = { endpointId, address: 'a:1', requestId: 'r', features, hasBegun };
+    this.guard.noteBrokenSend(send);
   }
 }
 
-function brokenSend(contentKey: string, knownCrashes: number, hasBegun: boolean): BrokenSend {
-  return { endpointId: 'e', address: 'a:1', requestId: 'r', contentKey, knownCrashes, hasBegun };
+let endpointCount = 0;
+
+/** Returns the id of an endpoint that has not crashed before. */
+function nextId(): string {
+  endpointCount += 1;
+  return `e${endpointCount}`;
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -81,18 +87,18 @@
       first.crash('bad');
       await until(() => fleet.commands === 1);
       for (const entry of [first, second, third]) entry.follow(fleet);
-      t.deepEqual(await second.guard.admit('bad'), { isAdmitted: true });
+      t.deepEqual(await second.guard.admit(['bad']), { isAdmitted: true });
       second.crash('bad');
       await until(() => fleet.commands === 2);
       third.follow(fleet);
-      t.deepEqual(await third.guard.admit('bad'), { isAdmitted: false, retryAfterMs: 60_000 });
-      t.is(third.guard.quarantinedForMs('bad'), 60_000);
-      t.deepEqual(await third.guard.admit('other'), { isAdmitted: true });
+      t.deepEqual(await third.guard.admit(['bad']), { isAdmitted: false, retryAfterMs: 60_000 });
+      t.is(third.guard.quarantineOf(['bad'])?.forMs, 60_000);
+      t.deepEqual(await third.guard.admit(['other']), { isAdmitted: true });
       t.is(third.guard.heldCount, 1);
 
       const restarted = new Entry(fleet);
       restarted.follow(fleet);
-      t.is(restarted.guard.quarantinedForMs('bad'), 60_000, 'an entry that has just started');
+      t.is(restarted.guard.quarantineOf(['bad'])?.forMs, 60_000, 'an entry that has just started');
     },
   );
 
@@ -109,11 +115,14 @@
       for (const entry of entries) {
         entry.follow(fleet);
         entry.nowMs += 60_000;
-        t.true(entry.guard.quarantinedForMs('bad') > 0, 'no trial request was permitted yet');
+        t.true(
+          (entry.guard.quarantineOf(['bad'])?.forMs ?? 0) > 0,
+          'no trial request was permitted yet',
+        );
       }
-      const admissions = await Promise.all(entries.map(({ guard }) => guard.admit('bad')));
+      const admissions = await Promise.all(entries.map(({ guard }) => guard.admit(['bad'])));
       t.is(admissions.filter(({ isAdmitted }) => isAdmitted).length, 1);
-      entries[0]?.guard.noteExecuted('bad');
+      entries[0]?.guard.noteExecuted(['bad']);
       await until(() => fleet.state.deltaSince(START).crashes?.records[0]?.crashes === 0);
       for (const entry of entries) {
         entry.follow(fleet);
@@ -130,12 +139,12 @@
       for (let crash = 0; crash < 2; crash += 1) {
         entry.crash('bad');
         entry.crash('popular');
-        entry.guard.noteExecuted('popular');
+        entry.guard.noteExecuted(['popular']);
       }
       await until(() => fleet.commands > 0);
       entry.follow(fleet);
-      t.is(entry.guard.quarantinedForMs('popular'), 0);
-      t.true(entry.guard.quarantinedForMs('bad') > 0);
+      t.is(entry.guard.quarantineOf(['popular']), undefined);
+      t.true((entry.guard.quarantineOf(['bad'])?.forMs ?? 0) > 0);
     },
   );
 
@@ -157,8 +166,8 @@
         for (const entry of entries) entry.follow(fleet);
       }
       for (const { guard } of entries) {
-        t.deepEqual(await guard.admit('popular'), { isAdmitted: true });
-        t.is(guard.quarantinedForMs('bad'), 60_000);
+        t.deepEqual(await guard.admit(['popular']), { isAdmitted: true });
+        t.is(guard.quarantineOf(['bad'])?.forMs, 60_000);
       }
     },
   );
@@ -171,16 +180,16 @@
       const entry = new Entry(fleet);
       entry.crash('bad');
       entry.crash('bad');
-      t.false((await entry.guard.admit('bad')).isAdmitted);
+      t.false((await entry.guard.admit(['bad'])).isAdmitted);
       entry.nowMs += 60_000;
-      t.false((await entry.guard.admit('bad')).isAdmitted, 'no leader permits a trial request');
+      t.false((await entry.guard.admit(['bad'])).isAdmitted, 'no leader permits a trial request');
       fleet.isReachable = true;
       entry.nowMs -= 60_000;
       await until(() => fleet.commands > 0);
       t.is(fleet.state.deltaSince(START).crashes?.records[0]?.crashes, 2);
       entry.nowMs += HOUR_MS;
       entry.follow(fleet);
-      t.true(entry.guard.quarantinedForMs('bad') > 0);
+      t.true((entry.guard.quarantineOf(['bad'])?.forMs ?? 0) > 0);
     },
   );
 
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -1,8 +1,8 @@
 /**
- * Quarantines request content that crashes endpoints: at this entry at once, and at all entries
+ * Quarantines features of requests that crash endpoints: at this entry at once, and at all entries
  * through the fleet's record of crashes.
  */
-import type { Admission, BrokenSend, ContentGuard } from '@shedline/forwarding';
+import type { Admission, BrokenSend, ContentGuard, Quarantine } from '@shedline/forwarding';
 import type { Logger } from '@shedline/logger';
 import { KnownCrashes } from '@shedline/quarantine';
 import type { CrashChanges } from '@shedline/quarantine';
@@ -13,6 +13,8 @@
  * Retry delay while another entry runs the trial request, or no leader could permit this one to.
  */
 const TRIAL_RETRY_MS = 1000;
+/** Maximum number of features of one request in a log record. */
+const MAX_LOGGED_FEATURES = 9;
 
 /** Options of {@link CrashGuard}. */
 export interface CrashGuardOptions {
@@ -36,34 +38,40 @@
     return this.records.isEmpty;
   }
 
-  /** Number of contents that are quarantined. */
+  /** Number of features that are quarantined. */
   get heldCount(): number {
     return this.records.quarantinedCount;
   }
 
-  async admit(contentKey: string): Promise<Admission> {
-    const status = this.records.status(contentKey);
+  async admit(featureKeys: readonly string[]): Promise<Admission> {
+    const status = this.records.status(featureKeys);
     if (status.kind === 'free') return { isAdmitted: true };
     if (status.kind === 'held') return { isAdmitted: false, retryAfterMs: status.forMs };
-    const isPermitted = await this.options.reporter.beginTrial(contentKey, status.trials);
-    const { logger } = this.options;
-    logger.info('trial request for quarantined content', {
+    const { reporter, logger } = this.options;
+    const isPermitted = await reporter.beginTrial(status.trials);
+    logger.info('trial request with a quarantined feature', {
       step: 'hold',
-      content: contentKey,
-      trials: status.trials,
+      features: status.trials.map(({ contentKey }) => contentKey),
+      trials: status.trials.map(({ trials }) => trials).join(','),
       outcome: isPermitted ? 'let' : 'not let',
     });
     return isPermitted ? { isAdmitted: true } : { isAdmitted: false, retryAfterMs: TRIAL_RETRY_MS };
   }
 
-  quarantinedForMs(contentKey: string): number {
-    const status = this.records.status(contentKey);
-    if (status.kind === 'free') return 0;
-    return status.kind === 'held' ? status.forMs : TRIAL_RETRY_MS;
+  quarantineOf(featureKeys: readonly string[]): Quarantine | undefined {
+    const status = this.records.status(featureKeys);
+    if (status.kind === 'free') return undefined;
+    if (status.kind === 'held') {
+      const { contentKey: featureKey, crashes, isConfirmed } = status.feature;
+      return { forMs: status.forMs, featureKey, crashes, isConfirmed };
+    }
+    const [{ contentKey: featureKey }] = status.trials;
+    const crashes = this.records.crashCountOf(featureKey);
+    return { forMs: TRIAL_RETRY_MS, featureKey, crashes, isConfirmed: false };
   }
 
-  crashCountOf(contentKey: string): number {
-    return this.records.crashCountOf(contentKey);
+  crashCountOf(featureKey: string): number {
+    return this.records.crashCountOf(featureKey);
   }
 
   noteBrokenSend(send: BrokenSend): void {
@@ -72,41 +80,46 @@
     });
   }
 
-  noteExecuted(contentKey: string): void {
-    const crashes = this.records.crashCountOf(contentKey);
-    if (!this.records.recordSurvival(contentKey)) return;
-    this.options.logger.info('content released from quarantine', {
-      step: 'hold',
-      content: contentKey,
-      crashes,
-    });
-    this.options.reporter.reportSurvival(contentKey);
+  noteExecuted(featureKeys: readonly string[]): void {
+    for (const feature of featureKeys) {
+      const crashes = this.records.crashCountOf(feature);
+      if (!this.records.recordSurvival(feature)) continue;
+      this.options.logger.info('feature released from quarantine', {
+        step: 'hold',
+        feature,
+        crashes,
+      });
+      this.options.reporter.reportSurvival(feature);
+    }
   }
 
   /** Applies changes of the fleet's record of crashes. */
   applyChanges(changes: CrashChanges, from: string): void {
-    for (const content of this.records.applyChanges(changes)) {
-      this.options.logger.info('content quarantined', {
+    for (const feature of this.records.applyChanges(changes)) {
+      this.options.logger.info('feature quarantined', {
         step: 'hold',
-        content,
-        crashes: this.records.crashCountOf(content),
+        feature,
+        crashes: this.records.crashCountOf(feature),
         change: changes.number,
         peer: from,
       });
     }
   }
 
-  private recordCrash(send: BrokenSend): void {
-    const { contentKey, knownCrashes, hasBegun, requestId, endpointId } = send;
-    this.records.recordCrash(contentKey, { knownCrashes, hasBegun });
-    this.options.reporter.reportCrash({ contentKey, knownCrashes, hasBegun });
-    this.options.logger.info('endpoint crashed while processing content', {
+  private recordCrash({ features, hasBegun, requestId, endpointId }: BrokenSend): void {
+    for (const { featureKey, knownCrashes } of features) {
+      const crash = { knownCrashes, hasBegun, endpointId };
+      this.records.recordCrash(featureKey, crash);
+      this.options.reporter.reportCrash({ contentKey: featureKey, ...crash });
+    }
+    const logged = features.slice(0, MAX_LOGGED_FEATURES).map(({ featureKey }) => featureKey);
+    this.options.logger.info('endpoint crashed while processing a request', {
       step: 'hold',
       request: requestId,
       endpoint: endpointId,
-      content: contentKey,
       hasBegun,
-      crashes: this.records.crashCountOf(contentKey),
+      features: logged,
+      crashes: logged.map((key) => this.records.crashCountOf(key)).join(','),
     });
   }
 }
--- a/packages/gateway/src/crash-reporter.ts
+++ b/packages/gateway/src/crash-reporter.ts
@@ -1,13 +1,13 @@
 /**
- * Reports contents during which endpoints crashed to the fleet's record, and requests trials from
- * it.
+ * Reports features of requests during which endpoints crashed to the fleet's record, and requests
+ * trials from it.
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { GroupCaller } from '@shedline/control-client';
 import { FLEET_GROUP } from '@shedline/fleet-control';
 import type { FleetAnswer } from '@shedline/fleet';
 import type { Logger } from '@shedline/logger';
-import type { BeginTrial, ContentCrash, RecordCrashes } from '@shedline/quarantine';
+import type { BeginTrial, FeatureCrash, FeatureTrial, RecordCrashes } from '@shedline/quarantine';
 
 /**
  * Time for which reports are collected into one command: all requests at a crashed endpoint break
@@ -18,13 +18,13 @@
 const RETRY_PAUSE_MS = 100;
 /** Time after which a report is dropped; without a leader for that long the fleet is down. */
 const GIVE_UP_MS = 30_000;
-/** Maximum contents of either kind in one command; the rest is sent in the next one. */
-const MAX_PER_COMMAND = 64;
+/** Maximum reports of either kind in one command; the rest is sent in the next one. */
+const MAX_PER_COMMAND = 256;
 /**
- * Maximum pending contents of either kind; if the whole fleet stops at once, further reports are
- * no evidence.
+ * Maximum pending reports of either kind; if the whole fleet stops at once, further reports are no
+ * evidence.
  */
-const MAX_PENDING = 512;
+const MAX_PENDING = 1024;
 
 /** Options of {@link CrashReporter}. */
 export interface CrashReporterOptions {
@@ -37,7 +37,7 @@
 /** Sends the reports, one command at a time. */
 export class CrashReporter {
   private readonly options: CrashReporterOptions;
-  private crashed: ContentCrash[] = [];
+  private crashed: FeatureCrash[] = [];
   private survived: string[] = [];
   private sending: Promise<void> | undefined;
   private isClosed = false;
@@ -46,23 +46,30 @@
     this.options = options;
   }
 
-  /** Reports a crash of an endpoint while it processed a content. */
-  reportCrash(crash: ContentCrash): void {
-    if (!this.canQueue(this.crashed)) return;
+  /** Reports a crash of an endpoint while it processed a request with a feature. */
+  reportCrash(crash: FeatureCrash): void {
+    const { contentKey, endpointId } = crash;
+    const isPending = this.crashed.some(
+      (other) => other.contentKey === contentKey && other.endpointId === endpointId,
+    );
+    if (isPending || !this.canQueue(this.crashed)) return;
     this.crashed.push(crash);
     this.startSending();
   }
 
-  /** Reports that an endpoint processed a suspected content without crashing. */
-  reportSurvival(contentKey: string): void {
+  /** Reports that an endpoint processed a request with a suspected feature without crashing. */
+  reportSurvival(featureKey: string): void {
     if (!this.canQueue(this.survived)) return;
-    this.survived.push(contentKey);
+    this.survived.push(featureKey);
     this.startSending();
   }
 
-  /** Requests permission for a trial request with a quarantined content. */
-  async beginTrial(contentKey: string, trials: number): Promise<boolean> {
-    const command: BeginTrial = { type: 'beginTrial', contentKey, trials };
+  /** Requests permission for a trial request with quarantined features. */
+  async beginTrial([first, ...further]: readonly [
+    FeatureTrial,
+    ...FeatureTrial[],
+  ]): Promise<boolean> {
+    const command: BeginTrial = { type: 'beginTrial', ...first, further };
     try {
       const { outcome } = await this.propose(command);
       return outcome === 'stored';
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -341,6 +341,12 @@
       );
   }
 
+  softwareVersionsOf(service: string): readonly string[] {
+    const up = this.directory.upForService(service, this.options.nowMs());
+    const versions = up.map(({ announcement }) => this.softwareVersionOf(announcement.endpointId));
+    return [...new Set(versions)];
+  }
+
   get announcedWithinMs(): number {
     return this.options.heartbeatMs;
   }
--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -42,6 +42,7 @@
       },
     },
     protocol: {
+      sharedPartsOf: () => [],
       ...PROTOCOL,
       sendHeaders: (_request, terms) => {
         ({ resumeAfterEventId } = terms);
--- a/packages/quarantine/src/crash-records.ts
+++ b/packages/quarantine/src/crash-records.ts
@@ -1,45 +1,56 @@
 /**
- * The fleet's record of request contents that crashed endpoints. It is part of a replicated state
- * machine: it reads no clock, and the same commands in the same order give the same record.
+ * The fleet's record of features of requests that crashed endpoints: whole contents and parts of
+ * prompts. It is part of a replicated state machine: it reads no clock, and the same commands in the
+ * same order give the same record.
  */
 import { match } from 'ts-pattern';
 import { countCrash } from './quarantine-rule.js';
 import type { CountedCrash, CrashCount } from './quarantine-rule.js';
 
 /**
- * Maximum number of recorded contents, cleared ones included; about 100 B each. A crash adds one
+ * Maximum number of recorded features, cleared ones included; 100 to 500 B each. A crash adds a few
  * for each request that the endpoint ran, so this suffices for dozens of simultaneous crashes.
  */
-const MAX_RECORDS = 512;
+const MAX_RECORDS = 2048;
 
-/** A crash of an endpoint that ran a content. */
-export interface ContentCrash extends CountedCrash {
+/** A crash of an endpoint that ran a request with a feature. */
+export interface FeatureCrash extends CountedCrash {
+  /** Key of the feature; earlier versions know contents only. */
   readonly contentKey: string;
 }
 
-/** Command that records crashes of endpoints, and contents that ran without a crash. */
+/** Command that records crashes of endpoints, and features of requests that ran without a crash. */
 export interface RecordCrashes {
   readonly type: 'recordCrashes';
-  readonly crashed: readonly ContentCrash[];
-  /** Keys of contents that ran without a crash. */
+  readonly crashed: readonly FeatureCrash[];
+  /** Keys of features of requests that ran without a crash. */
   readonly survived: readonly string[];
 }
 
-/** Command that begins a trial of a quarantined content; only one sender may begin each trial. */
-export interface BeginTrial {
-  readonly type: 'beginTrial';
+/** The next trial of a quarantined feature. */
+export interface FeatureTrial {
   readonly contentKey: string;
   /** Number of earlier trials that the sender knows of. */
   readonly trials: number;
 }
 
+/**
+ * Command that begins a trial of a request with quarantined features; only one sender may begin each
+ * trial of a feature.
+ */
+export interface BeginTrial extends FeatureTrial {
+  readonly type: 'beginTrial';
+  /** Further quarantined features of the request; omitted and ignored by earlier versions. */
+  readonly further?: readonly FeatureTrial[];
+}
+
 /** Any command that changes the record. */
 export type CrashCommand = RecordCrashes | BeginTrial;
 
-/** Record of one content; without crashes if it was cleared. */
+/** Record of one feature; without crashes if it was cleared. */
 export interface CrashRecord extends CrashCount {
   readonly contentKey: string;
-  /** Trials that were begun since the content was first quarantined. */
+  /** Trials that were begun since the feature was first quarantined. */
   readonly trials: number;
   /** Number of the last change of this record. */
   readonly number: number;
@@ -50,7 +61,7 @@
   /** Number of the newest change. */
   readonly number: number;
   readonly records: readonly CrashRecord[];
-  /** Whether `records` is the complete record: contents that it lacks were removed. */
+  /** Whether `records` is the complete record: features that it lacks were removed. */
   readonly isWhole: boolean;
 }
 
@@ -61,12 +72,12 @@
   readonly records: readonly CrashRecord[];
 }
 
-/** Records of contents, by key. */
+/** Records of features, by key. */
 export class CrashRecords {
   private number = 0;
   /** Number of the newest change of a removed record. */
   private forgottenNumber = 0;
-  /** Records by content key, in the order of their last change. */
+  /** Records by feature key, in the order of their last change. */
   private records = new Map<string, CrashRecord>();
 
   /** Number of the newest change. */
@@ -118,10 +129,14 @@
     return this.number !== before;
   }
 
-  private beginTrial({ contentKey, trials }: BeginTrial): boolean {
-    const known = this.records.get(contentKey);
-    if (known?.trials !== trials) return false;
-    this.put({ ...known, trials: trials + 1 });
+  private beginTrial({ contentKey, trials, further = [] }: BeginTrial): boolean {
+    const begun = [{ contentKey, trials }, ...further].map((trial) => ({
+      trial,
+      known: this.records.get(trial.contentKey),
+    }));
+    if (begun.some(({ trial, known }) => known?.trials !== trial.trials)) return false;
+    for (const { trial, known } of begun)
+      if (known !== undefined) this.put({ ...known, trials: trial.trials + 1 });
     return true;
   }
 
--- a/packages/quarantine/src/quarantine-rule.ts
+++ b/packages/quarantine/src/quarantine-rule.ts
@@ -1,8 +1,8 @@
 /**
- * Decides how many endpoint crashes quarantine a request content. A crash ends all requests that
- * the endpoint runs, so a frequent content may run beside a content that crashes endpoints, even
- * twice. A run whose response had begun is weaker evidence: most contents that crash endpoints do
- * so before the first event of the response.
+ * Decides how many endpoint crashes quarantine a feature of requests, and which of them other
+ * features explain. A crash ends all requests that the endpoint runs, so a frequent feature may be
+ * there when another one crashes endpoints, even twice. A run whose response had begun is weaker
+ * evidence: most contents that crash endpoints do so before the first event of the response.
  */
 
 /** Consecutive crashes, each of a run that was started when the earlier ones were known. */
@@ -10,49 +10,76 @@
   readonly crashes: number;
   /** Crashes before the response had begun; earlier versions omit it, which means all of them. */
   readonly crashesBeforeAnswer?: number;
+  /**
+   * Latest incarnations of endpoints that crashed, simultaneous ones included; earlier versions omit
+   * it.
+   */
+  readonly crashedEndpoints?: readonly string[];
 }
 
-/** A crash of an endpoint, as evidence against one content that was running there. */
+/** A crash of an endpoint, as evidence against one feature of a request that was running there. */
 export interface CountedCrash {
-  /** Crashes that the sender knew of when it sent the content. */
+  /** Crashes that the sender knew of when it sent the request. */
   readonly knownCrashes: number;
   /** Whether the response had begun; earlier versions omit it, which means false. */
   readonly hasBegun?: boolean;
+  /** Incarnation of the endpoint; earlier versions omit it. */
+  readonly endpointId?: string;
 }
 
 /**
- * Number of crashes before the response at which a content is quarantined. Each further crash costs
+ * Number of crashes before the response at which a feature is quarantined. Each further crash costs
  * all requests of its endpoint, up to 8, and 2 to 3 s of its capacity; a harmless content that is
  * quarantined has already lost two runs.
  */
 const QUARANTINE_CRASHES_BEFORE_RESPONSE = 2;
 /**
- * Number of crashes, before or during the response, at which a content is quarantined; some
+ * Number of crashes, before or during the response, at which a feature is quarantined; some
  * contents crash endpoints only during the response.
  */
 const QUARANTINE_CRASHES = 3;
+/** Number of crashes that count as chance if other features explain the rest. */
+const MAX_UNEXPLAINED_CRASHES = 1;
+/** Maximum number of crashed endpoints that are remembered of a feature. */
+const MAX_CRASHED_ENDPOINTS = 16;
 
-/** Whether a content with this count is quarantined. */
+/** Whether a feature with this count is quarantined. */
 export function isQuarantined(count: CrashCount): boolean {
-  return (
-    count.crashes >= QUARANTINE_CRASHES ||
-    crashesBeforeResponseOf(count) >= QUARANTINE_CRASHES_BEFORE_RESPONSE
-  );
+  return isConfirmed(count) || crashesBeforeResponseOf(count) >= QUARANTINE_CRASHES_BEFORE_RESPONSE;
+}
+
+/** Whether the evidence does not depend on when the responses had begun. */
+export function isConfirmed({ crashes }: CrashCount): boolean {
+  return crashes >= QUARANTINE_CRASHES;
+}
+
+/** Whether other features, which crashed `otherEndpoints`, explain the crashes of a feature. */
+export function isExplained(count: CrashCount, otherEndpoints: ReadonlySet<string>): boolean {
+  const { crashes, crashedEndpoints = [] } = count;
+  const unknown = Math.max(0, crashes - crashedEndpoints.length);
+  const unexplained = crashedEndpoints.filter((endpointId) => !otherEndpoints.has(endpointId));
+  return unknown + unexplained.length <= MAX_UNEXPLAINED_CRASHES;
 }
 
 /** Returns the count with one more crash; undefined if the crash is already counted. */
 export function countCrash(
   count: CrashCount,
-  { knownCrashes, hasBegun = false }: CountedCrash,
+  { knownCrashes, hasBegun = false, endpointId }: CountedCrash,
 ): Required<CrashCount> | undefined {
-  const crashes = knownCrashes + 1;
-  const added = crashes - count.crashes;
+  const { crashedEndpoints = [] } = count;
+  if (endpointId !== undefined && crashedEndpoints.includes(endpointId)) return undefined;
+  const crashes = Math.max(count.crashes, knownCrashes + 1);
   // Simultaneous crashes, of runs that began before any of them was known, count as one: an outage
   // of several endpoints that run the same frequent content is no evidence against that content.
-  if (added <= 0) return undefined;
+  const added = crashes - count.crashes;
+  if (added === 0 && endpointId === undefined) return undefined;
   return {
     crashes,
     crashesBeforeAnswer: crashesBeforeResponseOf(count) + (hasBegun ? 0 : added),
+    crashedEndpoints: [
+      ...crashedEndpoints,
+      ...(endpointId === undefined ? [] : [endpointId]),
+    ].slice(-MAX_CRASHED_ENDPOINTS),
   };
 }
 
--- a/packages/quarantine/src/quarantine.test.ts
+++ b/packages/quarantine/src/quarantine.test.ts
@@ -3,6 +3,7 @@
 import { describe, title } from '@shedline/test-utils';
 import { CrashRecords } from './crash-records.js';
 import type { CrashCommand } from './crash-records.js';
+import { isPartKey, partKeyOf } from './feature-keys.js';
 import { KnownCrashes } from './known-crashes.js';
 
 function crashed(contentKey: string, knownCrashes: number, hasBegun?: boolean): CrashCommand {
@@ -62,7 +63,7 @@
     for (let number = 0; number < 5000; number += 1) records.apply(crashed(`c${number}`, 0));
     const { records: kept, isWhole } = records.changesSince(1);
     t.true(isWhole, 'a lagging reader receives the complete record');
-    t.is(kept.length, 512);
+    t.is(kept.length, 2048);
     t.true(kept.some(({ contentKey }) => contentKey === 'worst'));
   });
 
@@ -107,25 +108,33 @@
       const records = new CrashRecords();
       const entry = new ReadingEntry();
       const { known } = entry;
+      const feature = { contentKey: 'c', crashes: 2, isConfirmed: false };
       t.true(known.isEmpty);
       records.apply(crashed('c', 0));
       t.deepEqual(entry.read(records), []);
-      t.is(known.status('c').kind, 'free');
+      t.is(known.status(['c']).kind, 'free');
       records.apply(crashed('c', known.crashCountOf('c')));
       t.deepEqual(entry.read(records), ['c']);
-      t.deepEqual(known.status('c'), { kind: 'held', forMs: 60_000 });
+      t.deepEqual(known.status(['c']), { kind: 'held', forMs: 60_000, feature });
       entry.nowMs += 60_000;
-      t.deepEqual(known.status('c'), { kind: 'trialDue', trials: 0 });
+      t.deepEqual(known.status(['c']), {
+        kind: 'trialDue',
+        trials: [{ contentKey: 'c', trials: 0 }],
+      });
       records.apply({ type: 'beginTrial', contentKey: 'c', trials: 0 });
       entry.read(records);
       t.deepEqual(
-        known.status('c'),
-        { kind: 'held', forMs: 600_000 },
+        known.status(['c']),
+        { kind: 'held', forMs: 600_000, feature },
         'other entries wait for the end of the trial',
       );
       records.apply(crashed('c', known.crashCountOf('c')));
       entry.read(records);
-      t.deepEqual(known.status('c'), { kind: 'held', forMs: 600_000 });
+      t.deepEqual(known.status(['c']), {
+        kind: 'held',
+        forMs: 600_000,
+        feature: { contentKey: 'c', crashes: 3, isConfirmed: true },
+      });
     },
   );
 
@@ -137,7 +146,7 @@
       records.apply(crashed('streaming', known.crashCountOf('streaming'), true));
       t.deepEqual(entry.read(records), []);
     }
-    t.is(known.status('streaming').kind, 'free');
+    t.is(known.status(['streaming']).kind, 'free');
     records.apply(crashed('streaming', known.crashCountOf('streaming'), true));
     t.deepEqual(entry.read(records), ['streaming'], 'it crashes endpoints during the response');
   });
@@ -146,9 +155,9 @@
     const { known } = new ReadingEntry();
     known.recordCrash('c', { knownCrashes: 0, hasBegun: true });
     known.recordCrash('c', { knownCrashes: 1, hasBegun: false });
-    t.is(known.status('c').kind, 'free');
+    t.is(known.status(['c']).kind, 'free');
     known.recordCrash('c', { knownCrashes: 2, hasBegun: true });
-    t.is(known.status('c').kind, 'held');
+    t.is(known.status(['c']).kind, 'held');
   });
 
   test(title('quarantines by its own observations before the fleet records them'), (t) => {
@@ -157,9 +166,9 @@
     known.recordCrash('c', { knownCrashes: 0 });
     t.is(known.crashCountOf('c'), 1);
     known.recordCrash('c', { knownCrashes: 1 });
-    t.is(known.status('c').kind, 'held');
+    t.is(known.status(['c']).kind, 'held');
     t.true(known.recordSurvival('c'));
-    t.is(known.status('c').kind, 'free');
+    t.is(known.status(['c']).kind, 'free');
     t.true(known.isEmpty);
   });
 
@@ -192,3 +201,165 @@
     },
   );
 });
+
+/** An entry of a fleet whose endpoints crash under requests with several features. */
+class CrashingFleet {
+  readonly records = new CrashRecords();
+  readonly entry = new ReadingEntry();
+  private endpoints = 0;
+
+  get known(): KnownCrashes {
+    return this.entry.known;
+  }
+
+  /** Crashes one endpoint that runs these requests, each given by its features. */
+  crash(...requests: (readonly string[])[]): void {
+    this.endpoints += 1;
+    const endpointId = `e${this.endpoints}`;
+    const reports = requests.flat().map((contentKey) => {
+      return { contentKey, knownCrashes: this.known.crashCountOf(contentKey), endpointId };
+    });
+    this.records.apply({ type: 'recordCrashes', crashed: reports, survived: [] });
+    this.entry.read(this.records);
+  }
+
+  survive(...features: readonly string[]): void {
+    this.records.apply({ type: 'recordCrashes', crashed: [], survived: features });
+    this.entry.read(this.records);
+  }
+
+  /** Begins the trial that is due for a request; returns whether one was. */
+  tryOut(features: readonly string[]): boolean {
+    const status = this.known.status(features);
+    if (status.kind !== 'trialDue') return false;
+    const [first, ...further] = status.trials;
+    const isBegun = this.records.apply({ type: 'beginTrial', ...first, further });
+    this.entry.read(this.records);
+    return isBegun;
+  }
+
+  kindOf(...features: readonly string[]): string {
+    return this.known.status(features).kind;
+  }
+}
+
+const partOf = (partId: string, softwareVersion = 'v1'): string =>
+  partKeyOf({ partId, service: 's', softwareVersion });
+const [COMMON, BAD, OTHER_BAD, SOUND] = ['c', 'b1', 'b2', 'a'].map((id) => partOf(id)) as [
+  string,
+  string,
+  string,
+  string,
+];
+
+describe('a part that crashes endpoints', () => {
+  test(
+    title('is held back, and one request that lacks it shows that the others are sound'),
+    (t) => {
+      const fleet = new CrashingFleet();
+      fleet.crash([COMMON, BAD, 'content 1'], [COMMON, SOUND, 'content 2']);
+      t.is(fleet.kindOf(COMMON, BAD, 'content 3'), 'free');
+      fleet.crash([COMMON, BAD, 'content 3']);
+      t.is(fleet.kindOf(COMMON, BAD, 'content 4'), 'held');
+      t.true(fleet.tryOut([COMMON, SOUND, 'content 5']), 'at once');
+      t.is(fleet.kindOf(COMMON, SOUND, 'content 6'), 'held', 'during the trial');
+      fleet.survive(COMMON, SOUND, 'content 5');
+      t.is(fleet.kindOf(COMMON, SOUND, 'content 6'), 'free');
+      t.is(fleet.kindOf(COMMON, BAD, 'content 4'), 'held');
+    },
+  );
+
+  test(
+    title('is told from the part that all its requests have, though that is never cleared'),
+    (t) => {
+      const fleet = new CrashingFleet();
+      for (let crash = 1; crash <= 3; crash += 1) fleet.crash([COMMON, BAD, `content ${crash}`]);
+      const status = fleet.known.status([COMMON, BAD, 'content 4']);
+      t.true(status.kind === 'held' && status.feature.isConfirmed && status.forMs === 60_000);
+      t.true(fleet.tryOut([COMMON, SOUND]));
+      fleet.crash([COMMON, SOUND]);
+      t.is(fleet.kindOf(COMMON, SOUND), 'held', 'another crash during the trial may be chance');
+      fleet.entry.nowMs += 1000;
+      t.true(fleet.tryOut([COMMON, SOUND]));
+      fleet.crash([COMMON, SOUND]);
+      fleet.entry.nowMs += 60_000;
+      t.is(fleet.kindOf(COMMON, SOUND), 'held', 'the common part crashes endpoints');
+    },
+  );
+
+  test(title('is told from a common part that another crashing part was beside as well'), (t) => {
+    const fleet = new CrashingFleet();
+    fleet.crash([COMMON, BAD, 'content 1']);
+    fleet.crash([COMMON, OTHER_BAD, 'content 2']);
+    t.is(fleet.kindOf(COMMON, SOUND), 'held', 'the common part alone explains both');
+    fleet.entry.nowMs += 1000;
+    t.true(fleet.tryOut([COMMON, BAD, 'content 3']));
+    fleet.crash([COMMON, BAD, 'content 3']);
+    fleet.entry.nowMs += 1000;
+    t.true(fleet.tryOut([COMMON, SOUND]));
+    fleet.survive(COMMON, SOUND);
+    t.is(fleet.kindOf(COMMON, SOUND), 'free');
+    t.true(fleet.tryOut([COMMON, BAD]));
+    fleet.crash([COMMON, BAD]);
+    t.is(fleet.kindOf(COMMON, BAD), 'held');
+  });
+
+  test(title('gets one early trial, and the next ones after a minute and more'), (t) => {
+    const fleet = new CrashingFleet();
+    fleet.crash([BAD]);
+    fleet.crash([BAD]);
+    fleet.entry.nowMs += 999;
+    t.false(fleet.tryOut([BAD]));
+    fleet.entry.nowMs += 1;
+    t.true(fleet.tryOut([BAD]));
+    fleet.entry.nowMs += 59_999;
+    t.false(fleet.tryOut([BAD]), 'the outcome of the trial is not known');
+    fleet.crash([BAD]);
+    fleet.entry.nowMs += 599_999;
+    t.false(fleet.tryOut([BAD]));
+    fleet.entry.nowMs += 1;
+    t.true(fleet.tryOut([BAD]));
+  });
+
+  test(title('of one software version may be served at another'), (t) => {
+    const fleet = new CrashingFleet();
+    for (let crash = 1; crash <= 3; crash += 1) fleet.crash([BAD]);
+    t.is(fleet.kindOf(BAD), 'held');
+    t.is(fleet.kindOf(partOf('b1', 'v2')), 'free');
+  });
+
+  test(title('counts a crash once, whoever reports it and whatever was known'), (t) => {
+    const records = new CrashRecords();
+    const report = (knownCrashes: number, endpointId: string): boolean => {
+      const crash = { contentKey: BAD, knownCrashes, endpointId };
+      return records.apply({ type: 'recordCrashes', crashed: [crash], survived: [] });
+    };
+    t.true(report(0, 'e1'));
+    t.false(report(1, 'e1'));
+    t.true(report(0, 'e2'), 'a simultaneous crash is remembered');
+    const [record] = records.changesSince(0).records;
+    t.like(record, { crashes: 1, crashedEndpoints: ['e1', 'e2'] });
+  });
+
+  test(title('is tried by one sender only, also beside other features'), (t) => {
+    const fleet = new CrashingFleet();
+    for (let crash = 1; crash <= 2; crash += 1) fleet.crash([COMMON, BAD]);
+    const begin = (...keys: [string, ...string[]]): boolean => {
+      const [first, ...further] = keys.map((contentKey) => ({ contentKey, trials: 0 }));
+      if (first === undefined) return false;
+      return fleet.records.apply({ type: 'beginTrial', ...first, further });
+    };
+    t.true(begin(COMMON));
+    t.false(begin(BAD, COMMON));
+    t.true(begin(BAD));
+  });
+});
+
+describe('partKeyOf', () => {
+  test(title('limits the length of an id, and differs with each field'), (t) => {
+    t.true(partOf('a'.repeat(16_000)).length < 100);
+    t.not(partOf('a'.repeat(16_000)), partOf('a'.repeat(16_001)));
+    t.not(partOf('a'), partOf('a', 'v2'));
+    t.true(isPartKey(partOf('a')));
+  });
+});
