--- a/packages/gateway/src/item-run.test.ts
+++ b/packages/gateway/src/item-run.test.ts
@@ -4,7 +4,10 @@
 import type { ItemProgress } from '@shedline/whole-jobs';
 import { ItemRun } from './item-run.js';
 
-const PROTOCOL = { sendHeaders: () => [] } as unknown as EndpointProtocol;
+const PROTOCOL = {
+  sharedPartsOf: () => [],
+  sendHeaders: () => [],
+} as unknown as EndpointProtocol;
 
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
 
@@ -42,7 +45,6 @@
       },
     },
     protocol: {
-      sharedPartsOf: () => [],
       ...PROTOCOL,
       sendHeaders: (_request, terms) => {
         ({ resumeAfterEventId } = terms);
