Hold back items whose prompts have a part that crashes endpoints

The runs of items now count for and against the parts of their prompts as those of requests do.

A response that was dropped since another incarnation may have sent it no longer counts as broken, for items too: its endpoint may have crashed before the send.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -33,7 +33,7 @@
 /** Result of a continued stream whose endpoint may be another incarnation. */
 const UNCONFIRMED_RESULT = {
   kind: 'ended',
-  outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted' },
+  outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted', isUnconfirmed: true },
 } as const;
 
 /** Forwards one request until it ends. */
@@ -323,8 +323,7 @@
     if (result.kind !== 'complete') {
       this.log.sendEnded(endpoint, result, { hasBegun, content: this.content.key });
     }
-    if (result !== UNCONFIRMED_RESULT)
-      this.content.sendEnded(endpoint, result, { ...knowledge, hasBegun });
+    this.content.sendEnded(endpoint, result, { ...knowledge, hasBegun });
     return result;
   }
 
--- a/packages/forwarding/src/guarded-content.ts
+++ b/packages/forwarding/src/guarded-content.ts
@@ -157,12 +157,13 @@
 }
 
 /**
- * Whether the connection broke. An unresponsive endpoint doesn't count: it may still execute the
- * request.
+ * Whether the connection broke. An unresponsive endpoint doesn't count, as it may still execute the
+ * request, nor a response that was dropped: its endpoint may have crashed before the send.
  */
 export function isBroken(result: SendResult): boolean {
   if (result.kind !== 'ended') return false;
   const { outcome } = result;
+  if (outcome.kind === 'brokeOff' && outcome.isUnconfirmed === true) return false;
   return (outcome.kind === 'lost' || outcome.kind === 'brokeOff') && outcome.isSilence !== true;
 }
 
--- a/packages/forwarding/src/request-plan.ts
+++ b/packages/forwarding/src/request-plan.ts
@@ -23,8 +23,16 @@
   | { readonly kind: 'lost'; readonly reason: string; readonly isSilence?: boolean }
   /** The endpoint responded with an error. */
   | { readonly kind: 'failed'; readonly status: number }
-  /** The response was truncated. `isSilence`: it was given up because nothing more arrived. */
-  | { readonly kind: 'brokeOff'; readonly reason: string; readonly isSilence?: boolean };
+  /**
+   * The response was truncated. `isSilence`: it was given up because nothing more arrived;
+   * `isUnconfirmed`: it was dropped because another incarnation may have sent it.
+   */
+  | {
+      readonly kind: 'brokeOff';
+      readonly reason: string;
+      readonly isSilence?: boolean;
+      readonly isUnconfirmed?: boolean;
+    };
 
 /** The next action for a request. */
 export type PlanStep =
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -230,6 +230,7 @@
       fleet,
       pool: this.pool,
       crashDetector: this.crashDetector,
+      guard: this.crashGuard,
       sender: this.sender,
       protocol,
       logger,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -124,7 +124,7 @@
     this.lastEventId = this.granted.progress?.lastEventId;
     return {
       kind: 'ended',
-      outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted' },
+      outcome: { kind: 'brokeOff', reason: 'the endpoint may have restarted', isUnconfirmed: true },
     };
   }
 
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type { GroupCaller } from '@shedline/control-client';
 import { KnownFleet } from '@shedline/fleet';
+import { NOOP_GUARD } from '@shedline/forwarding';
 import type {
   EndpointProtocol,
   RequestSender,
@@ -270,6 +271,7 @@
     fleet,
     pool,
     crashDetector: { hasCrashed: () => Promise.resolve(hasCrashed) },
+    guard: NOOP_GUARD,
     sender,
     protocol: PROTOCOL,
     logger: createLogger({ level: 'silent' }),
