Try a confirmed part once at another software version, and count each crash once

A restart that was known before now counts as evidence, and an undecided part gets the next trial after 1, 2, 4 s and so on. - A release would have cost three endpoints and more again at each new version. A part that is confirmed at one service or version now runs as one trial at another; one crash is enough there, one whole run frees it. A confirmed part gets its next trial after ten minutes.

--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -66,6 +66,21 @@
     t.is(calls, 0);
   });
 
+  // Guards against a crash that goes unnoticed since this process stood still until the endpoint was up again.
+  test(title('infers a crash from a new incarnation that was known before'), async (t) => {
+    const setup = new Setup();
+    setup.state = 'open';
+    setup.detector.noteRestart('e');
+    setup.leaving.add('left');
+    setup.detector.noteRestart('left');
+    t.true(await setup.detector.hasCrashed('e', ADDRESS));
+    t.false(await setup.detector.hasCrashed('left', ADDRESS));
+    t.is(setup.probeCount, 0);
+    setup.nowMs = 10_001;
+    setup.detector.sweep();
+    t.false(await setup.detector.hasCrashed('e', ADDRESS));
+  });
+
   test(title('infers a crash from a new incarnation within ten seconds'), async (t) => {
     const setup = new Setup();
     setup.state = 'silent';
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -44,6 +44,8 @@
   private readonly probes = new Map<string, Promise<boolean>>();
   private readonly crashedAtMs = new Map<string, number>();
   private readonly suspicions = new Map<string, Suspicion>();
+  /** When incarnations were known to be replaced; a response may be found broken only afterwards. */
+  private readonly replacedAtMs = new Map<string, number>();
 
   constructor(options: CrashDetectorOptions) {
     this.options = options;
@@ -53,6 +55,10 @@
   hasCrashed(endpointId: string, address: string): Promise<boolean> {
     if (this.isKnownCrash(endpointId)) return Promise.resolve(true);
     if (this.options.isLeaving(endpointId)) return Promise.resolve(false);
+    if (this.replacedAtMs.has(endpointId)) {
+      this.recordCrash(endpointId, 'later run');
+      return Promise.resolve(true);
+    }
     const pending = this.probes.get(endpointId);
     if (pending !== undefined) return pending;
     const probe = this.probePort(endpointId, address).finally(() => this.probes.delete(endpointId));
@@ -78,6 +84,7 @@
 
   /** Notes that a new incarnation of the endpoint is up. */
   noteRestart(endpointId: string): void {
+    this.replacedAtMs.set(endpointId, this.options.nowMs());
     const suspicion = this.suspicions.get(endpointId);
     if (suspicion === undefined) return;
     this.recordCrash(endpointId, 'later run');
@@ -85,12 +92,15 @@
     for (const then of suspicion.onCrashed) then();
   }
 
-  /** Removes expired suspicions and crashes. */
+  /** Removes expired suspicions, replacements and crashes. */
   sweep(): void {
     const nowMs = this.options.nowMs();
     for (const [endpointId, { sinceMs }] of this.suspicions) {
       if (nowMs - sinceMs > RESTART_EVIDENCE_MS) this.suspicions.delete(endpointId);
     }
+    for (const [endpointId, atMs] of this.replacedAtMs) {
+      if (nowMs - atMs > RESTART_EVIDENCE_MS) this.replacedAtMs.delete(endpointId);
+    }
     for (const [endpointId, atMs] of this.crashedAtMs) {
       if (nowMs - atMs > KNOWN_CRASH_MS) this.crashedAtMs.delete(endpointId);
     }
--- a/packages/quarantine/src/crash-records.ts
+++ b/packages/quarantine/src/crash-records.ts
@@ -32,6 +32,11 @@
   readonly contentKey: string;
   /** Number of earlier trials that the sender knows of. */
   readonly trials: number;
+  /**
+   * Whether the feature may have no record: it is a part that crashes endpoints of another service or
+   * software version. Omitted and ignored by earlier versions.
+   */
+  readonly isUntested?: boolean;
 }
 
 /**
@@ -47,7 +52,7 @@
 /** Any command that changes the record. */
 export type CrashCommand = RecordCrashes | BeginTrial;
 
-/** Record of one feature; without crashes if it was cleared. */
+/** Record of one feature; without crashes and trials if it was cleared. */
 export interface CrashRecord extends CrashCount {
   readonly contentKey: string;
   /** Trials that were begun since the feature was first quarantined. */
@@ -123,20 +128,27 @@
       this.put({ contentKey, ...counted, trials: known?.trials ?? 0 });
     }
     for (const contentKey of survived) {
-      const isSuspected = (this.records.get(contentKey)?.crashes ?? 0) > 0;
-      if (isSuspected) this.put({ contentKey, crashes: 0, trials: 0 });
+      const known = this.records.get(contentKey);
+      if (known === undefined || isCleared(known)) continue;
+      this.put({ contentKey, crashes: 0, trials: 0 });
     }
     return this.number !== before;
   }
 
-  private beginTrial({ contentKey, trials, further = [] }: BeginTrial): boolean {
-    const begun = [{ contentKey, trials }, ...further].map((trial) => ({
-      trial,
-      known: this.records.get(trial.contentKey),
-    }));
-    if (begun.some(({ trial, known }) => known?.trials !== trial.trials)) return false;
-    for (const { trial, known } of begun)
-      if (known !== undefined) this.put({ ...known, trials: trial.trials + 1 });
+  private beginTrial({
+    contentKey: firstKey,
+    trials: firstTrials,
+    isUntested: isFirstUntested = false,
+    further = [],
+  }: BeginTrial): boolean {
+    const first = { contentKey: firstKey, trials: firstTrials, isUntested: isFirstUntested };
+    const begun = [first, ...further].map(({ contentKey, trials, isUntested = false }) => {
+      const none = isUntested ? { contentKey, crashes: 0, trials: 0 } : undefined;
+      return { trials, known: this.records.get(contentKey) ?? none };
+    });
+    if (begun.some(({ trials, known }) => known?.trials !== trials)) return false;
+    for (const { trials, known } of begun)
+      if (known !== undefined) this.put({ ...known, trials: trials + 1 });
     return true;
   }
 
@@ -157,3 +169,8 @@
     this.forgottenNumber = Math.max(this.forgottenNumber, evicted.number);
   }
 }
+
+/** Whether a request with the feature ran to its end after the last crash or trial. */
+export function isCleared({ crashes, trials }: Pick<CrashRecord, 'crashes' | 'trials'>): boolean {
+  return crashes === 0 && trials === 0;
+}
--- a/packages/quarantine/src/feature-keys.ts
+++ b/packages/quarantine/src/feature-keys.ts
@@ -24,6 +24,11 @@
   return `${PART_PREFIX}${shortId}@${service}/${softwareVersion}`;
 }
 
+/** Returns the key of a part without what it is bound to; undefined for another feature. */
+export function unboundPartOf(featureKey: string): string | undefined {
+  return isPartKey(featureKey) ? featureKey.slice(0, featureKey.indexOf('@')) : undefined;
+}
+
 /** Whether a feature is a part of prompts, which requests of different contents share. */
 export function isPartKey(featureKey: string): boolean {
   return featureKey.startsWith(PART_PREFIX);
--- a/packages/quarantine/src/known-crashes.ts
+++ b/packages/quarantine/src/known-crashes.ts
@@ -2,9 +2,16 @@
  * One entry's knowledge of the features of requests that crashed endpoints, and the time for which
  * each is quarantined. Times count from when the entry received a record, by its own monotonic clock.
  */
+import { isCleared } from './crash-records.js';
 import type { CrashChanges, FeatureTrial } from './crash-records.js';
-import { isPartKey } from './feature-keys.js';
-import { countCrash, isConfirmed, isExplained, isQuarantined } from './quarantine-rule.js';
+import { isPartKey, unboundPartOf } from './feature-keys.js';
+import {
+  QUARANTINE_CRASHES,
+  countCrash,
+  isConfirmed,
+  isExplained,
+  isQuarantined,
+} from './quarantine-rule.js';
 import type { CountedCrash, CrashCount } from './quarantine-rule.js';
 
 /**
@@ -14,14 +21,15 @@
  */
 const QUARANTINE_MS = [60_000, 600_000, 7_200_000, 86_400_000] as const;
 const MAX_QUARANTINE_MS = 86_400_000;
+/** The same for a part that is confirmed, by the trials since; requests that differ confirmed it. */
+const CONFIRMED_PART_MS = QUARANTINE_MS.slice(1);
 /**
- * Quarantine of a part before its first trial, if the evidence is not confirmed: many requests may
- * share it, and any of them can show whether it is the cause.
+ * Quarantine until a trial decides about a part that is not confirmed, or a feature that is probably
+ * sound: many requests may share it, and any of them can show whether it is the cause. The time
+ * doubles with each trial that showed nothing.
  */
-const UNCONFIRMED_PART_MS = 1000;
-/** Time after a trial of an explained feature until the next one; it doubles with each trial. */
-const EXPLAINED_TRIAL_MS = 1000;
-const MAX_EXPLAINED_TRIAL_MS = 60_000;
+const UNDECIDED_MS = 1000;
+const MAX_UNDECIDED_MS = 60_000;
 /** Time for which crashes below the quarantine threshold count against a feature. */
 const SINGLE_CRASH_EXPIRY_MS = 3_600_000;
 /** Maximum number of features recorded locally before the fleet's record includes them. */
@@ -55,6 +63,14 @@
   readonly receivedAtMs: number;
 }
 
+/** Features that decide about requests with others. */
+interface QuarantineIndex {
+  /** Features that keep requests back and have crashed endpoints. */
+  readonly featureKeys: readonly string[];
+  /** Parts that are confirmed at some service and software version; see {@link unboundPartOf}. */
+  readonly confirmedParts: ReadonlySet<string>;
+}
+
 const NO_RECORD: KnownRecord = { crashes: 0, trials: 0, number: 0, receivedAtMs: 0 };
 
 /** Crashes attributed to features, by the key of the feature. */
@@ -65,8 +81,8 @@
   private readonly localRecords = new Map<string, KnownRecord>();
   /** Newest known change of cleared features; a lagging process may still report older ones. */
   private readonly cleared = new Map<string, number>();
-  /** Keys of the quarantined features; undefined after a change. */
-  private quarantinedKeys: readonly string[] | undefined;
+  /** Index of the quarantined features; undefined after a change. */
+  private cachedIndex: QuarantineIndex | undefined;
 
   constructor(nowMs: () => number) {
     this.nowMs = nowMs;
@@ -79,13 +95,13 @@
 
   /** Number of quarantined features. */
   get quarantinedCount(): number {
-    return this.quarantined().filter((key) => this.status([key]).kind === 'held').length;
+    return this.index.featureKeys.filter((key) => this.status([key]).kind === 'held').length;
   }
 
   /** Applies changes of the fleet's record; returns the keys of newly quarantined features. */
   applyChanges({ records, isWhole }: CrashChanges): string[] {
     const newlyQuarantined: string[] = [];
-    this.quarantinedKeys = undefined;
+    this.cachedIndex = undefined;
     if (isWhole) this.removeUnlisted(new Set(records.map(({ contentKey }) => contentKey)));
     for (const { contentKey, ...record } of records) {
       const { crashes, number } = record;
@@ -93,7 +109,7 @@
       const wasQuarantined = isQuarantined(this.currentRecord(contentKey));
       const localCrashes = this.localRecords.get(contentKey)?.crashes ?? 0;
       if (crashes === 0 || crashes >= localCrashes) this.localRecords.delete(contentKey);
-      if (crashes === 0) this.clear(contentKey, number);
+      if (isCleared(record)) this.clear(contentKey, number);
       else this.fleetRecords.set(contentKey, { ...record, receivedAtMs: this.nowMs() });
       if (!wasQuarantined && isQuarantined(record)) newlyQuarantined.push(contentKey);
     }
@@ -107,7 +123,7 @@
 
   /** Returns the status of a request that has these features. */
   status(contentKeys: readonly string[]): RequestStatus {
-    const [first, ...further] = contentKeys.filter((key) => isQuarantined(this.currentRecord(key)));
+    const [first, ...further] = contentKeys.filter((key) => this.isHeld(key));
     if (first === undefined) return { kind: 'free' };
     const otherEndpoints = this.endpointsCrashedWithout(contentKeys);
     let last = this.heldFeature(first, otherEndpoints);
@@ -127,7 +143,7 @@
     const known = this.currentRecord(contentKey);
     const counted = countCrash(known, crash);
     if (counted === undefined) return;
-    this.quarantinedKeys = undefined;
+    this.cachedIndex = undefined;
     const { trials } = known;
     this.localRecords.set(contentKey, {
       ...counted,
@@ -141,28 +157,50 @@
   /** Records a run without a crash; returns true if crashes were attributed to the feature. */
   recordSurvival(contentKey: string): boolean {
     if (!this.localRecords.has(contentKey) && !this.fleetRecords.has(contentKey)) return false;
-    this.quarantinedKeys = undefined;
+    this.cachedIndex = undefined;
     this.localRecords.delete(contentKey);
     this.clear(contentKey, this.lastChangeOf(contentKey));
     return true;
   }
 
-  /** Returns a quarantined feature and the time until its trial is due, negative if it is. */
+  /**
+   * Whether a feature keeps requests back: it is quarantined, or is a part that crashes endpoints of
+   * another service or software version and has not run to the end at this one.
+   */
+  private isHeld(contentKey: string): boolean {
+    const record = this.currentRecord(contentKey);
+    if (isQuarantined(record)) return true;
+    if (!this.isConfirmedElsewhere(contentKey)) return false;
+    return record.crashes > 0 || !this.cleared.has(contentKey);
+  }
+
+  private isConfirmedElsewhere(contentKey: string): boolean {
+    const part = unboundPartOf(contentKey);
+    return part !== undefined && this.index.confirmedParts.has(part);
+  }
+
+  /** Returns a feature that is held, and the time until its trial is due, negative if it is. */
   private heldFeature(
     contentKey: string,
     otherEndpoints: ReadonlySet<string>,
   ): { readonly forMs: number; readonly feature: QuarantinedFeature } {
     const record = this.currentRecord(contentKey);
-    const isExplainedByOthers = isExplained(record, otherEndpoints);
-    const delayMs = trialDelayMs(contentKey, record, isExplainedByOthers);
-    const forMs = record.receivedAtMs + delayMs - this.nowMs();
-    const { crashes } = record;
-    const isCause = !isExplainedByOthers && isConfirmed(record);
-    return { forMs, feature: { contentKey, crashes, isConfirmed: isCause } };
+    const { crashes, trials, receivedAtMs } = record;
+    const isProbablySound = crashes === 0 || isExplained(record, otherEndpoints);
+    const hasEvidence = isConfirmed(record) || this.isConfirmedElsewhere(contentKey);
+    const isCause = hasEvidence && !isProbablySound;
+    const delayMs = isProbablySound
+      ? undecidedMs(trials - 1)
+      : quarantineMs(contentKey, record, isCause);
+    return {
+      forMs: receivedAtMs + delayMs - this.nowMs(),
+      feature: { contentKey, crashes, isConfirmed: isCause },
+    };
   }
 
   private trialOf(contentKey: string): FeatureTrial {
-    return { contentKey, trials: this.currentRecord(contentKey).trials };
+    const { crashes, trials } = this.currentRecord(contentKey);
+    return { contentKey, trials, ...(crashes === 0 ? { isUntested: true } : {}) };
   }
 
   private lastChangeOf(contentKey: string): number {
@@ -190,17 +228,26 @@
     return !isQuarantined(known) && this.nowMs() - known.receivedAtMs > SINGLE_CRASH_EXPIRY_MS;
   }
 
-  private quarantined(): readonly string[] {
-    if (this.quarantinedKeys === undefined) {
-      const keys = new Set([...this.fleetRecords.keys(), ...this.localRecords.keys()]);
-      this.quarantinedKeys = [...keys].filter((key) => isQuarantined(this.currentRecord(key)));
-    }
-    return this.quarantinedKeys;
+  private get index(): QuarantineIndex {
+    this.cachedIndex ??= this.createIndex();
+    return this.cachedIndex;
+  }
+
+  private createIndex(): QuarantineIndex {
+    const keys = new Set([...this.fleetRecords.keys(), ...this.localRecords.keys()]);
+    const suspected = [...keys].filter((key) => this.currentRecord(key).crashes > 0);
+    const confirmed = suspected.filter((key) => isConfirmed(this.currentRecord(key)));
+    const confirmedParts = new Set(confirmed.flatMap((key) => unboundPartOf(key) ?? []));
+    const featureKeys = suspected.filter(
+      (key) =>
+        isQuarantined(this.currentRecord(key)) || confirmedParts.has(unboundPartOf(key) ?? ''),
+    );
+    return { featureKeys, confirmedParts };
   }
 
   /** Returns the endpoints that crashed with quarantined features other than these. */
   private endpointsCrashedWithout(contentKeys: readonly string[]): ReadonlySet<string> {
-    const others = this.quarantined().filter((key) => !contentKeys.includes(key));
+    const others = this.index.featureKeys.filter((key) => !contentKeys.includes(key));
     return new Set(others.flatMap((key) => this.currentRecord(key).crashedEndpoints ?? []));
   }
 
@@ -210,20 +257,22 @@
   }
 }
 
-/** Time from the last change of a quarantined feature until its next trial is due. */
-function trialDelayMs(
+/** Time from the last change of an undecided feature until its next trial; 0 before the first one. */
+function undecidedMs(pastTrials: number): number {
+  return pastTrials < 0 ? 0 : Math.min(MAX_UNDECIDED_MS, UNDECIDED_MS * 2 ** pastTrials);
+}
+
+/** Time from the last change of a quarantined feature until its next trial. */
+function quarantineMs(
   contentKey: string,
-  record: KnownRecord,
-  isExplainedByOthers: boolean,
+  { crashes, trials }: KnownRecord,
+  isCause: boolean,
 ): number {
-  const { trials } = record;
-  if (isExplainedByOthers) {
-    if (trials === 0) return 0;
-    return Math.min(MAX_EXPLAINED_TRIAL_MS, EXPLAINED_TRIAL_MS * 2 ** (trials - 1));
-  }
-  if (isPartKey(contentKey) && !isConfirmed(record))
-    return trials === 0 ? UNCONFIRMED_PART_MS : QUARANTINE_MS[0];
-  return QUARANTINE_MS[trials] ?? MAX_QUARANTINE_MS;
+  if (!isPartKey(contentKey)) return QUARANTINE_MS[trials] ?? MAX_QUARANTINE_MS;
+  if (!isCause) return undecidedMs(trials);
+  // The trials before a part was confirmed do not count; those since have crashed an endpoint each.
+  const pastTrials = Math.max(0, crashes - QUARANTINE_CRASHES);
+  return CONFIRMED_PART_MS[pastTrials] ?? MAX_QUARANTINE_MS;
 }
 
 function dropOldest(map: Map<string, unknown>, maxSize: number): void {
--- a/packages/quarantine/src/quarantine-rule.ts
+++ b/packages/quarantine/src/quarantine-rule.ts
@@ -37,7 +37,7 @@
  * Number of crashes, before or during the response, at which a feature is quarantined; some
  * contents crash endpoints only during the response.
  */
-const QUARANTINE_CRASHES = 3;
+export const QUARANTINE_CRASHES = 3;
 /** Number of crashes that count as chance if other features explain the rest. */
 const MAX_UNEXPLAINED_CRASHES = 1;
 /** Maximum number of crashed endpoints that are remembered of a feature. */
@@ -57,8 +57,9 @@
 export function isExplained(count: CrashCount, otherEndpoints: ReadonlySet<string>): boolean {
   const { crashes, crashedEndpoints = [] } = count;
   const unknown = Math.max(0, crashes - crashedEndpoints.length);
-  const unexplained = crashedEndpoints.filter((endpointId) => !otherEndpoints.has(endpointId));
-  return unknown + unexplained.length <= MAX_UNEXPLAINED_CRASHES;
+  const others = crashedEndpoints.filter((endpointId) => !otherEndpoints.has(endpointId));
+  const unexplained = unknown + others.length;
+  return unexplained < crashes && unexplained <= MAX_UNEXPLAINED_CRASHES;
 }
 
 /** Returns the count with one more crash; undefined if the crash is already counted. */
@@ -68,13 +69,13 @@
 ): Required<CrashCount> | undefined {
   const { crashedEndpoints = [] } = count;
   if (endpointId !== undefined && crashedEndpoints.includes(endpointId)) return undefined;
-  const crashes = Math.max(count.crashes, knownCrashes + 1);
   // Simultaneous crashes, of runs that began before any of them was known, count as one: an outage
   // of several endpoints that run the same frequent content is no evidence against that content.
-  const added = crashes - count.crashes;
-  if (added === 0 && endpointId === undefined) return undefined;
+  const isSimultaneous = knownCrashes < count.crashes;
+  if (isSimultaneous && endpointId === undefined) return undefined;
+  const added = isSimultaneous ? 0 : addedCrashes(count, { knownCrashes, endpointId });
   return {
-    crashes,
+    crashes: count.crashes + added,
     crashesBeforeAnswer: crashesBeforeResponseOf(count) + (hasBegun ? 0 : added),
     crashedEndpoints: [
       ...crashedEndpoints,
@@ -83,6 +84,17 @@
   };
 }
 
+/**
+ * Number of crashes that a report adds. A named endpoint counts once, since what its sender knew may
+ * be older than a run that cleared the feature; earlier versions rely on what the sender knew.
+ */
+function addedCrashes(
+  { crashes }: CrashCount,
+  { knownCrashes, endpointId }: Pick<CountedCrash, 'knownCrashes' | 'endpointId'>,
+): number {
+  return endpointId === undefined ? knownCrashes + 1 - crashes : 1;
+}
+
 function crashesBeforeResponseOf({ crashes, crashesBeforeAnswer = crashes }: CrashCount): number {
   return crashesBeforeAnswer;
 }
