Soak with crashing prompt parts, and explain crashes fully

The soak has callers whose requests, all different, and one in ten items have a part in their prompts that crashes endpoints (--crashing-parts), sound requests that share the other parts, and a promise for each bound. The parts that the crashing requests had by turns explained the crashes of the bad part together, all but one, so it got trials without end.

A feature is now explained only if others account for all of its crashes; after a trial, one other feature that accounts for all but one is enough, as the endpoint of the trial may have crashed by chance.

--- a/packages/quarantine/src/known-crashes.ts
+++ b/packages/quarantine/src/known-crashes.ts
@@ -125,10 +125,10 @@
   status(contentKeys: readonly string[]): RequestStatus {
     const [first, ...further] = contentKeys.filter((key) => this.isHeld(key));
     if (first === undefined) return { kind: 'free' };
-    const otherEndpoints = this.endpointsCrashedWithout(contentKeys);
-    let last = this.heldFeature(first, otherEndpoints);
+    const others = this.crashesOfOthers(contentKeys);
+    let last = this.heldFeature(first, others);
     for (const key of further) {
-      const held = this.heldFeature(key, otherEndpoints);
+      const held = this.heldFeature(key, others);
       if (held.forMs > last.forMs) last = held;
     }
     if (last.forMs > 0) return { kind: 'held', ...last };
@@ -182,11 +182,11 @@
   /** Returns a feature that is held, and the time until its trial is due, negative if it is. */
   private heldFeature(
     contentKey: string,
-    otherEndpoints: ReadonlySet<string>,
+    others: readonly (readonly string[])[],
   ): { readonly forMs: number; readonly feature: QuarantinedFeature } {
     const record = this.currentRecord(contentKey);
     const { crashes, trials, receivedAtMs } = record;
-    const isProbablySound = crashes === 0 || isExplained(record, otherEndpoints);
+    const isProbablySound = crashes === 0 || isExplained(record, others, trials);
     const hasEvidence = isConfirmed(record) || this.isConfirmedElsewhere(contentKey);
     const isCause = hasEvidence && !isProbablySound;
     const delayMs = isProbablySound
@@ -245,10 +245,10 @@
     return { featureKeys, confirmedParts };
   }
 
-  /** Returns the endpoints that crashed with quarantined features other than these. */
-  private endpointsCrashedWithout(contentKeys: readonly string[]): ReadonlySet<string> {
+  /** Returns the endpoints that crashed with each quarantined feature that is not among these. */
+  private crashesOfOthers(contentKeys: readonly string[]): (readonly string[])[] {
     const others = this.index.featureKeys.filter((key) => !contentKeys.includes(key));
-    return new Set(others.flatMap((key) => this.currentRecord(key).crashedEndpoints ?? []));
+    return others.map((key) => this.currentRecord(key).crashedEndpoints ?? []);
   }
 
   private removeUnlisted(contentKeys: ReadonlySet<string>): void {
--- a/packages/quarantine/src/quarantine-rule.ts
+++ b/packages/quarantine/src/quarantine-rule.ts
@@ -38,8 +38,8 @@
  * contents crash endpoints only during the response.
  */
 export const QUARANTINE_CRASHES = 3;
-/** Number of crashes that count as chance if other features explain the rest. */
-const MAX_UNEXPLAINED_CRASHES = 1;
+/** Number of crashes that one feature has to explain if another crash counts as chance. */
+const MIN_EXPLAINED_CRASHES = 2;
 /** Maximum number of crashed endpoints that are remembered of a feature. */
 const MAX_CRASHED_ENDPOINTS = 16;
 
@@ -53,13 +53,24 @@
   return crashes >= QUARANTINE_CRASHES;
 }
 
-/** Whether other features, which crashed `otherEndpoints`, explain the crashes of a feature. */
-export function isExplained(count: CrashCount, otherEndpoints: ReadonlySet<string>): boolean {
-  const { crashes, crashedEndpoints = [] } = count;
-  const unknown = Math.max(0, crashes - crashedEndpoints.length);
-  const others = crashedEndpoints.filter((endpointId) => !otherEndpoints.has(endpointId));
-  const unexplained = unknown + others.length;
-  return unexplained < crashes && unexplained <= MAX_UNEXPLAINED_CRASHES;
+/**
+ * Whether other features, each given by the endpoints that crashed with it, explain the crashes of a
+ * feature: together all of them. After a trial, one that explains all but one is enough, as the
+ * endpoint of the trial may have crashed by chance.
+ */
+export function isExplained(
+  { crashes, crashedEndpoints = [] }: CrashCount,
+  otherFeatures: readonly (readonly string[])[],
+  trials: number,
+): boolean {
+  if (crashedEndpoints.length < crashes) return false;
+  const unexplainedBy = (endpointIds: readonly string[]): number => {
+    const explained = new Set(endpointIds);
+    return crashedEndpoints.filter((endpointId) => !explained.has(endpointId)).length;
+  };
+  if (unexplainedBy(otherFeatures.flat()) === 0) return true;
+  const fewest = Math.min(...otherFeatures.map(unexplainedBy));
+  return trials > 0 && fewest === 1 && crashedEndpoints.length > MIN_EXPLAINED_CRASHES;
 }
 
 /** Returns the count with one more crash; undefined if the crash is already counted. */
--- a/packages/soak/src/crashing-contents.ts
+++ b/packages/soak/src/crashing-contents.ts
@@ -1,10 +1,13 @@
 /**
- * Checks the quarantine of request contents that crash endpoints: after the third crash a content
- * must be quarantined within a time limit, except for a few trial requests.
+ * Checks the quarantine of request contents and prompt parts that crash endpoints: after some crashes
+ * they must be quarantined within a time limit, except for a few trial requests.
  */
+import { CRASHING_PART_PREFIX } from './expected-response.js';
 
 /** Endpoint crashes after which a content must be quarantined. */
 const CRASHES_UNTIL_QUARANTINE = 3;
+/** The same for a part, whose requests differ. */
+const CRASHES_UNTIL_PART_QUARANTINE = 5;
 /** Time after the last of these crashes within which every process must know of the quarantine. */
 const QUARANTINE_WITHIN_MS = 3000;
 /** Allowed number of later runs: trial requests that check whether the content still crashes. */
@@ -43,7 +46,9 @@
     isUndisturbed: (fromMs: number) => boolean,
   ): boolean {
     const record = this.contents.get(crashingContent);
-    const lastCrashMs = record?.crashedAtMs[CRASHES_UNTIL_QUARANTINE - 1] ?? Infinity;
+    const isPart = crashingContent.startsWith(CRASHING_PART_PREFIX);
+    const crashes = isPart ? CRASHES_UNTIL_PART_QUARANTINE : CRASHES_UNTIL_QUARANTINE;
+    const lastCrashMs = record?.crashedAtMs[crashes - 1] ?? Infinity;
     const isLate = atMs > lastCrashMs + QUARANTINE_WITHIN_MS;
     if (record === undefined || !isLate || !isUndisturbed(atMs - QUARANTINE_WITHIN_MS))
       return false;
--- a/packages/soak/src/expected-response.ts
+++ b/packages/soak/src/expected-response.ts
@@ -57,3 +57,20 @@
 
 /** Prefix of contents that crash the endpoint which runs them. */
 export const CRASHER_PREFIX = 'crasher-';
+
+/** Prefix of the ids of prompt parts that crash the endpoint which answers a request with them. */
+export const CRASHING_PART_PREFIX = 'bad';
+/** First part of all prompts of a run with crashing parts. */
+export const COMMON_PART = 'c0';
+/** Prefix of the ids of items whose prompts have a crashing part; the id of the part follows. */
+const CRASHING_ITEM_PREFIX = 'part-';
+
+/** Returns the id of an item whose prompt has a crashing part. */
+export function crashingItemId(part: string, itemId: string): string {
+  return `${CRASHING_ITEM_PREFIX}${part}-${itemId}`;
+}
+
+/** Returns the crashing part in the prompt of an item; undefined if it has none. */
+export function crashingPartOf(itemId: string): string | undefined {
+  return itemId.startsWith(CRASHING_ITEM_PREFIX) ? itemId.split('-')[1] : undefined;
+}
--- a/packages/soak/src/fleet-adapter.ts
+++ b/packages/soak/src/fleet-adapter.ts
@@ -16,6 +16,8 @@
   readonly timeoutMs: number;
   /** Content of path and body; the request id if omitted. */
   readonly content?: string;
+  /** Ids of the parts of its prompt that other requests share; a part of its own follows. */
+  readonly sharedParts?: readonly string[];
   /** The stream to continue after the events of its text. */
   readonly continues?: BegunStream;
   /** Number of events after which the caller disconnects; it reads to the end if omitted. */
@@ -70,7 +72,10 @@
    * workspace of its caller, and the API key was not forwarded.
    */
   readonly onRun: (requestId: string, isOwnWorkspace: boolean) => void;
-  /** Called when a content that begins with `CRASHER_PREFIX` has to crash the endpoint. */
+  /**
+   * Called when a content that begins with `CRASHER_PREFIX`, or a part of a prompt that begins with
+   * `CRASHING_PART_PREFIX`, has to crash the endpoint.
+   */
   readonly onCrash: (content: string) => void;
 }
 
--- a/packages/soak/src/promise-checker.test.ts
+++ b/packages/soak/src/promise-checker.test.ts
@@ -206,6 +206,25 @@
     t.deepEqual(promises(withRunsAfterThreeCrashes(createChecker(false), 9)), []);
   });
 
+  test(title('reports a part of prompts after its fifth crash, for requests and items'), (t) => {
+    const withRuns = (runs: number): PromiseChecker => {
+      const checker = createChecker();
+      for (const atMs of [0, 100, 200, 300, 400]) checker.endpointCrashed('bad1', atMs);
+      checker.jobSubmitted('job', ['part-bad1-item']);
+      for (let run = 0; run < runs; run += 1) checker.requestRan('part-bad1-item', 'e', 3300 + run);
+      checker.requestSent('q', {
+        entry: 'entry-1',
+        kind: 'once',
+        atMs: 3450,
+        crashingContent: 'bad1',
+      });
+      checker.requestRan('q', 'e', 3451);
+      return checker;
+    };
+    t.deepEqual(promises(withRuns(100)), []);
+    t.deepEqual(promises(withRuns(105)), ['what ends endpoints is held back']);
+  });
+
   test(title('does not report a broken request whose endpoint was crashed by a content'), (t) => {
     const checker = createChecker();
     checker.requestSent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -6,6 +6,7 @@
 import {
   POISON_PREFIX,
   completeTextOf,
+  crashingPartOf,
   softwareVersionsOf,
   withoutVersions,
 } from './expected-response.js';
@@ -45,7 +46,7 @@
   readonly entry: string;
   readonly kind: RequestKind;
   readonly atMs: number;
-  /** Content of the request, if it is one that crashes endpoints. */
+  /** Content of the request, or the part of its prompt, that crashes endpoints. */
   readonly crashingContent?: string;
   /** The stream that the request continues, and what its caller has of it. */
   readonly continues?: BegunStream;
@@ -85,6 +86,7 @@
   'leaving endpoints get no work',
   'ended jobs stop',
   'what ends endpoints is held back',
+  'sound requests with common parts are served',
   'service comes back',
   'accepted items complete',
   'configurations are readable',
@@ -384,6 +386,8 @@
       this.addViolation('only what was asked for runs', atMs, itemId);
       return;
     }
+    const crashingPart = crashingPartOf(itemId);
+    if (crashingPart !== undefined) this.crashingContentRan(crashingPart, atMs);
     const cancelledAtMs = this.jobs.get(jobId)?.cancelledAtMs;
     const isLate = cancelledAtMs !== undefined && atMs > cancelledAtMs + CANCEL_WITHIN_MS;
     if (isLate && this.options.isUndisturbed(cancelledAtMs, atMs, () => true)) {
@@ -392,8 +396,8 @@
   }
 
   private checkResult({ itemId, state, text }: ListedResult, job: JobRecord, atMs: number): void {
-    const isPoison = itemId.startsWith(POISON_PREFIX);
-    const isCorrect = isPoison
+    const mustFail = itemId.startsWith(POISON_PREFIX) || crashingPartOf(itemId) !== undefined;
+    const isCorrect = mustFail
       ? state === 'errored'
       : state === 'complete'
         ? withoutVersions(text) === completeTextOf(itemId)
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -5,7 +5,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { pick, seededRandom } from '@shedline/test-utils';
 import type { RandomSource } from '@shedline/test-utils';
-import { CRASHER_PREFIX, POISON_PREFIX } from './expected-response.js';
+import {
+  COMMON_PART,
+  CRASHER_PREFIX,
+  CRASHING_PART_PREFIX,
+  POISON_PREFIX,
+  crashingItemId,
+} from './expected-response.js';
 import { DISTINGUISHABLE_VERSIONS } from './fleet-adapter.js';
 import type { FleetAdapter, SoakCaller } from './fleet-adapter.js';
 import type {
@@ -33,6 +39,10 @@
 const KNOWN_WITHIN_MS = 2000;
 /** Time between two attempts of a caller whose content crashes endpoints. */
 const CRASHING_CALLER_PAUSE_MS = 300;
+/** Number of parts that sound requests and crashing ones share, besides the first. */
+const SHARED_PARTS = 3;
+/** Share of the items whose prompts have a crashing part, if there are any. */
+const CRASHING_ITEM_SHARE = 0.1;
 /** Share of the streams whose caller leaves early and continues at another entry. */
 const LEFT_SHARE = 0.15;
 const MAX_CONTINUATIONS = 3;
@@ -56,6 +66,17 @@
   readonly pacedPerS?: number;
   /** Number of callers that each repeatedly send a content which crashes endpoints. */
   readonly crashers?: number;
+  /** Number of callers that each send different requests with a part which crashes endpoints. */
+  readonly crashingParts?: number;
+}
+
+/** What a request holds; its own id and the usual parts by default. */
+interface RequestContent {
+  /** Content, or part of its prompt, that crashes endpoints. */
+  readonly crashing?: string;
+  /** Whether it is the whole content. */
+  readonly isWhole?: boolean;
+  readonly sharedParts?: readonly string[];
 }
 
 /** Load on the fleet in one run. */
@@ -84,9 +105,11 @@
     for (let caller = 0; caller < CALLERS; caller += 1) this.loops.push(this.callerLoop());
     this.loops.push(this.jobLoop(), this.operatorLoop(), this.configurationReadLoop());
     for (const entry of this.options.entries) this.loops.push(this.configurationCheckLoop(entry));
-    const { pacedPerS = 0, crashers = 0 } = this.options;
+    const { pacedPerS = 0, crashers = 0, crashingParts = 0 } = this.options;
     for (let index = 0; index < crashers; index += 1)
       this.loops.push(this.crashingCallerLoop(index));
+    for (let index = 0; index < crashingParts; index += 1)
+      this.loops.push(this.crashingPartLoop(this.crashingPart(index)));
     if (pacedPerS > 0) this.loops.push(this.pacedLoop(1000 / pacedPerS));
   }
 
@@ -193,20 +216,53 @@
     while (!this.hasStopped) {
       const usable = this.options.usableEntries();
       if (usable.length > 0)
-        pending.push(this.requestOnNewConnection(pick(this.random, usable), kind, content));
+        pending.push(
+          this.requestOnNewConnection(pick(this.random, usable), kind, {
+            crashing: content,
+            isWhole: true,
+          }),
+        );
       await pause(CRASHING_CALLER_PAUSE_MS);
     }
     await Promise.all(pending);
   }
 
+  /** Sends different requests whose prompts have a part, at any place, to random entries. */
+  private async crashingPartLoop(part: string): Promise<void> {
+    const pending: Promise<unknown>[] = [];
+    for (let number = 0; !this.hasStopped; number += 1) {
+      const usable = this.options.usableEntries();
+      const kind = KINDS[number % KINDS.length] ?? 'once';
+      const others = [COMMON_PART, sharedPart(number)];
+      const sharedParts = others.toSpliced(number % SHARED_PARTS, 0, part);
+      if (usable.length > 0)
+        pending.push(
+          this.requestOnNewConnection(pick(this.random, usable), kind, {
+            crashing: part,
+            sharedParts,
+          }),
+        );
+      await pause(CRASHING_CALLER_PAUSE_MS);
+    }
+    await Promise.all(pending);
+  }
+
+  private crashingPart(index: number): string {
+    return `${CRASHING_PART_PREFIX}${this.options.seed.toString(16)}f${index}`;
+  }
+
+  private get hasCrashingParts(): boolean {
+    return (this.options.crashingParts ?? 0) > 0;
+  }
+
   private async requestOnNewConnection(
     entry: ProcessSpec,
     kind: RequestKind,
-    crashingContent?: string,
+    content: RequestContent = {},
   ): Promise<boolean> {
     const caller = this.options.adapter.openCaller(entry);
     try {
-      return await this.request(caller, entry, kind, crashingContent);
+      return await this.request(caller, entry, kind, content);
     } finally {
       await caller.close();
     }
@@ -220,23 +276,23 @@
     caller: SoakCaller,
     { name: entry }: ProcessSpec,
     kind: RequestKind,
-    crashingContent?: string,
+    { crashing, isWhole = false, sharedParts = this.soundParts() }: RequestContent = {},
   ): Promise<boolean> {
     const { checker, nowMs } = this.options;
     const requestId = this.newId('q');
-    const contentOption = crashingContent === undefined ? {} : { content: crashingContent };
     checker.requestSent(requestId, {
       entry,
       kind,
       atMs: nowMs(),
-      ...(crashingContent === undefined ? {} : { crashingContent }),
+      ...(crashing === undefined ? {} : { crashingContent: crashing }),
     });
-    const mayLeave = kind === 'resumable' && crashingContent === undefined;
+    const mayLeave = kind === 'resumable' && crashing === undefined;
     const outcome = await caller.send({
       requestId,
       kind,
       timeoutMs: REQUEST_TIMEOUT_MS,
-      ...contentOption,
+      ...(crashing !== undefined && isWhole ? { content: crashing } : {}),
+      ...(sharedParts.length === 0 ? {} : { sharedParts }),
       ...(mayLeave ? this.drawLeave() : {}),
     });
     checker.requestEnded(requestId, outcome, nowMs());
@@ -245,6 +301,17 @@
     return outcome.kind === 'complete';
   }
 
+  private newItemId(): string {
+    const itemId = this.newId(this.random() < POISON_SHARE ? POISON_PREFIX : 'item');
+    const isCrashing = this.hasCrashingParts && this.continuationRandom() < CRASHING_ITEM_SHARE;
+    return isCrashing ? crashingItemId(this.crashingPart(0), itemId) : itemId;
+  }
+
+  /** Parts of the prompt of a sound request, which are also in those of crashing ones. */
+  private soundParts(): readonly string[] {
+    return this.hasCrashingParts ? [COMMON_PART, sharedPart(this.nextId)] : [];
+  }
+
   private drawLeave(): { readonly leaveAfterEvents?: number } {
     const hasLeft = this.continuationRandom() < LEFT_SHARE;
     return hasLeft ? { leaveAfterEvents: 1 + Math.floor(this.continuationRandom() * 3) } : {};
@@ -300,9 +367,7 @@
     const { adapter, checker, entries, nowMs } = this.options;
     const jobId = this.newId('job');
     const count = 1 + Math.floor(this.random() * MAX_JOB_ITEMS);
-    const itemIds = Array.from({ length: count }, () =>
-      this.newId(this.random() < POISON_SHARE ? POISON_PREFIX : 'item'),
-    );
+    const itemIds = Array.from({ length: count }, () => this.newItemId());
     const isCancelled = this.random() < CANCELLED_JOB_SHARE;
     checker.jobSubmitted(jobId, itemIds);
     if (!(await this.submitWithRetries({ jobId, itemIds }))) return;
@@ -384,3 +449,8 @@
     return id;
   }
 }
+
+/** Returns a part that sound requests and crashing ones share. */
+function sharedPart(number: number): string {
+  return `a${number % SHARED_PARTS}`;
+}
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -66,6 +66,8 @@
   readonly replacements?: number;
   /** Number of callers whose content crashes each endpoint that runs it. */
   readonly crashers?: number;
+  /** Number of callers whose requests have a part in their prompts that crashes endpoints. */
+  readonly crashingParts?: number;
 }
 
 /** Outcome of a run. */
@@ -93,6 +95,11 @@
 /** Number of control processes that the settings name as seeds; the others are spares. */
 const SEED_COUNT = 3;
 
+/** Time after the last fault from when on sound requests must be served beside crashing ones. */
+const SOUND_SERVED_WITHIN_MS = 6000;
+const SOUND_PROBES = 24;
+const MIN_SOUND_SERVED_SHARE = 0.5;
+
 /** Runs one seed. Neither its plan nor its load depends on the loopback network that it claims. */
 export async function runSoak(options: SoakOptions): Promise<SoakOutcome> {
   const run = new SoakRun(options, await claimNetwork({ first: options.seed }));
@@ -169,6 +176,7 @@
       nowMs: () => this.nowMs(),
       usableEntries: () => this.usableEntries(),
       crashers: options.crashers ?? 0,
+      crashingParts: options.crashingParts ?? 0,
       pacedPerS: (options.silences ?? 0) > 0 ? PACED_PER_S : 0,
     });
   }
@@ -180,6 +188,7 @@
     this.planStartMs = this.nowMs();
     await Promise.all(this.faults.map((fault) => this.inject(fault)));
     await this.settle();
+    if ((this.options.crashingParts ?? 0) > 0) await this.checkSoundRequests();
     await this.load.stop();
     await this.readBack();
     const breaks = this.checker.finish(this.nowMs());
@@ -405,6 +414,20 @@
     }
   }
 
+  /** Checks that requests are served which share parts of their prompts with crashing ones. */
+  private async checkSoundRequests(): Promise<void> {
+    await pause(SOUND_SERVED_WITHIN_MS);
+    const entries = this.ofRole('entry');
+    let served = 0;
+    for (let probe = 0; probe < SOUND_PROBES; probe += 1) {
+      const entry = entries[probe % entries.length];
+      if (entry !== undefined && (await this.load.probe(entry))) served += 1;
+    }
+    if (served >= MIN_SOUND_SERVED_SHARE * SOUND_PROBES) return;
+    const detail = `${served} of ${SOUND_PROBES} are served`;
+    this.checker.addViolation('sound requests with common parts are served', this.nowMs(), detail);
+  }
+
   /** Reports unexpected exits, and reads everything that was acknowledged at every process. */
   private async readBack(): Promise<void> {
     for (const exit of this.processes.unexpectedExits) {
