Serve a part at versions where it runs, and keep the number of its trials

Found by reading: a part that was confirmed at one software version was held back for a trial at another one where it had run to the end minutes before; and a part whose trial at another version had shown nothing for an hour got no further one, as the entry forgot the number of trials that the fleet's record kept. Tests in packages/quarantine.

--- a/packages/quarantine/src/known-crashes.ts
+++ b/packages/quarantine/src/known-crashes.ts
@@ -199,7 +199,7 @@
     const record = this.currentRecord(contentKey);
     if (isQuarantined(record)) return true;
     if (!this.isConfirmedElsewhere(contentKey)) return false;
-    return record.crashes > 0 || !this.cleared.has(contentKey);
+    return record.crashes > 0 || !(this.cleared.has(contentKey) || this.wasSound(contentKey));
   }
 
   private isConfirmedElsewhere(contentKey: string): boolean {
@@ -280,7 +280,9 @@
   }
 
   private isExpired(known: KnownRecord): boolean {
-    return !isQuarantined(known) && this.nowMs() - known.receivedAtMs > SINGLE_CRASH_EXPIRY_MS;
+    // The number of trials has to stay known, or no further one would be permitted.
+    if (isQuarantined(known) || known.trials > 0) return false;
+    return this.nowMs() - known.receivedAtMs > SINGLE_CRASH_EXPIRY_MS;
   }
 
   private get index(): QuarantineIndex {
--- a/packages/quarantine/src/quarantine.test.ts
+++ b/packages/quarantine/src/quarantine.test.ts
@@ -411,6 +411,18 @@
     t.true(fleet.tryOut([atV2]));
     fleet.entry.nowMs += 1000;
     t.true(fleet.tryOut([atV2]));
+    fleet.entry.nowMs += 2 * 3_600_000;
+    t.true(fleet.tryOut([atV2]));
+  });
+
+  test(title('is served by a software version at which it has run to the end'), (t) => {
+    const fleet = new CrashingFleet();
+    const atV2 = partOf('b1', 'v2');
+    fleet.survive(atV2);
+    for (let crash = 1; crash <= 3; crash += 1) fleet.crash([BAD]);
+    t.is(fleet.kindOf(atV2), 'free');
+    fleet.crash([atV2]);
+    t.is(fleet.kindOf(atV2), 'held');
   });
 
   test(title('counts a crash once, whoever reports it and whatever was known'), (t) => {
