--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -5,12 +5,13 @@
 import type { FleetSettings } from '@shedline/config';
 import { LeaderCaller } from '@shedline/control-client';
 import type { ZonedName } from '@shedline/directory';
+import { OpenCalls } from '@shedline/draining';
 import type { AgedHeartbeat, CallerLimits, FleetDelta, RouteTable } from '@shedline/fleet';
 import { ProcessCore, callPortsOf, quotaTolerance } from '@shedline/fleet-control';
 import type { JobEndedMessage } from '@shedline/fleet-control';
 import { ConnectionProbe, EndpointSender, Forwarder } from '@shedline/forwarding';
 import type { EndpointProtocol, ResponseSink } from '@shedline/forwarding';
-import type { Logger } from '@shedline/logger';
+import type { LogFields, Logger } from '@shedline/logger';
 import { ProcessMetrics } from '@shedline/metrics';
 import type { MemberRecord } from '@shedline/mesh';
 import type { PeerConnections } from '@shedline/transport';
@@ -86,6 +87,8 @@
   readonly jobs: JobService;
   readonly authenticator: ApiKeyAuthenticator;
   readonly metrics = new ProcessMetrics();
+  /** Calls in progress at all servers of this entry. */
+  readonly openCalls = new OpenCalls();
   private readonly settings: FleetSettings;
   private readonly logger: Logger;
   private readonly random: () => number;
@@ -320,9 +323,19 @@
    */
   async drain(): Promise<void> {
     this.core.mesh.setState('draining');
-    this.logger.info('draining', { step: 'stop', openRequests: this.requestHandler.openRequests });
+    this.logger.info('draining', { step: 'stop', ...this.openWork() });
     await this.shutdown.run(this.itemRunner.drain());
-    this.logger.info('drained', { step: 'stop', cutRequests: this.requestHandler.openRequests });
+    this.logger.info('drained', { step: 'stop', ...this.openWork() });
+  }
+
+  /** Returns the work in progress, for the log. */
+  private openWork(): LogFields {
+    const { openCalls, requestHandler, itemRunner } = this;
+    return {
+      openCalls: openCalls.byKind,
+      openRequests: requestHandler.openRequests,
+      runningItems: itemRunner.runningCount,
+    };
   }
 
   /** Closes all connections to the fleet and to the endpoints. */
@@ -490,6 +503,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_held_contents', () => this.crashGuard.heldCount);
+    this.metrics.gauge('shedline_open_calls', () => this.openCalls.count);
     this.metrics.gauge('shedline_open_requests', () => this.requestHandler.openRequests);
     this.metrics.gauge('shedline_waiting_requests', () => this.forwarder.waitingCount);
     this.metrics.gauge('shedline_held_at_start', () => this.startupGate.waitingCount);
