Begin no request at a stopping entry that cannot end in time

Cause: a stopping entry accepted everything until 1.5 s before it closed its connections, whatever it may last.

A call now begins only if its longest expected duration ends before the close: the limit of caller and route, or less if the calls observed on the route were shorter, scaled by the maximum output that callers state. Asked on arrival, before each send, and while a request waits in the queue.

--- a/packages/forwarding/src/endpoint-queue.test.ts
+++ b/packages/forwarding/src/endpoint-queue.test.ts
@@ -98,6 +98,26 @@
 }
 
 describe('EndpointQueue', () => {
+  // Guards against requests that a stopping process sends too late to complete them.
+  test(
+    title('refuses a waiting request that may no longer begin, though a slot is free'),
+    async (t) => {
+      const fleet = setup(1);
+      const stop = { mayBegin: true };
+      const order = collectOrder(fleet, {
+        a: request({ mayBegin: () => stop.mayBegin }),
+        b: request(),
+      });
+      await settled();
+      t.deepEqual(order, []);
+      stop.mayBegin = false;
+      fleet.finder.free.set('e', 1);
+      fleet.queue.ended(SERVICE);
+      await settled();
+      t.deepEqual(order, ['a refused', 'b']);
+    },
+  );
+
   test(
     title('assigns a free endpoint at once, and counts it before the next request enters'),
     async (t) => {
--- a/packages/forwarding/src/endpoint-queue.ts
+++ b/packages/forwarding/src/endpoint-queue.ts
@@ -90,6 +90,8 @@
   /** Software version that must serve the request; any if omitted. */
   readonly softwareVersion?: string;
   readonly prompt?: SharedPrompt;
+  /** See {@link ForwardTask.mayBegin}. */
+  readonly mayBegin?: () => boolean;
 }
 
 /** A request's position in the queue. */
@@ -230,6 +232,7 @@
     request: EndpointQueueRequest,
     { slots, entryCount }: WaitingCapacity,
   ): boolean {
+    if (request.mayBegin?.() === false) return false;
     const nowMs = this.nowMs();
     if (timelinessOf(request, nowMs) !== 'late') return true;
     const reserved = this.estimateOf(request.service).slotsForNewRequests(nowMs);
@@ -307,7 +310,7 @@
     scan: ServiceScan,
     nowMs: number,
   ): boolean {
-    if (request.deadlineMs <= nowMs) return true;
+    if (request.deadlineMs <= nowMs || request.mayBegin?.() === false) return true;
     const { service, tried, mayRetryTried, softwareVersion } = request;
     const excluded = mayRetryTried ? NONE : tried;
     const isUnrestricted = excluded.size === 0 && softwareVersion === undefined;
--- a/packages/forwarding/src/forward-task.ts
+++ b/packages/forwarding/src/forward-task.ts
@@ -89,6 +89,11 @@
   readonly softwareVersion?: string;
   /** Whether `softwareVersion` is still certain to have begun the stream. */
   readonly isOriginCertain?: () => boolean;
+  /**
+   * Whether the request may be sent to an endpoint: a stopping process sends none that could not end
+   * in time. Checked until a part of the response has been passed on; always if omitted.
+   */
+  readonly mayBegin?: () => boolean;
   /** Called before the first event is passed on, with the endpoint that wrote it. */
   readonly onFirstEvent?: (endpoint: ChosenEndpoint) => void;
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -27,6 +27,9 @@
  */
 const MIN_CALLER_TIMEOUT_MS = 2000;
 
+/** Time after which callers retry at another entry what a stopping process did not begin. */
+const STOPPING_RETRY_MS = 100;
+
 /** Number of times that a request is admitted again because its endpoint may not run it. */
 const MAX_READMISSIONS = 3;
 
@@ -104,6 +107,10 @@
     let step = refusal ?? this.plan.first();
     while (step.action === 'send') {
       if (this.hasCallerLeft()) return this.close('callerGone');
+      if (!this.mayBegin()) {
+        step = this.plan.giveUp(this.options.nowMs(), STOPPING_RETRY_MS);
+        break;
+      }
       const { isWriterCertain } = this;
       const endpoint = isWriterCertain ? await this.findEndpoint() : undefined;
       if (this.hasCallerLeft()) {
@@ -115,8 +122,10 @@
         const { resumeAfterEventId } = step;
         if (softwareVersion !== undefined)
           this.log.notContinued({ softwareVersion, resumeAfterEventId, isWriterCertain });
-        const nextSlotInMs = this.queue.nextSlotInMs(this.task.service);
-        step = this.plan.giveUp(this.options.nowMs(), nextSlotInMs);
+        const retryAfterMs = this.mayBegin()
+          ? this.queue.nextSlotInMs(this.task.service)
+          : STOPPING_RETRY_MS;
+        step = this.plan.giveUp(this.options.nowMs(), retryAfterMs);
         break;
       }
       // A feature may have been quarantined while it waited or after its previous send.
@@ -169,6 +178,11 @@
     return this.plan.giveUp(this.options.nowMs(), quarantine.forMs);
   }
 
+  /** Whether the request may still be sent; a response that has begun is completed. */
+  private mayBegin(): boolean {
+    return this.isHeadSent || this.task.mayBegin?.() !== false;
+  }
+
   /** Whether the caller has disconnected; checked again after each wait. */
   private hasCallerLeft(): boolean {
     return this.isCallerGone;
@@ -199,6 +213,7 @@
       deadlineMs,
       ...this.streamStartLimit(),
       ...(request.sharedPrompt === undefined ? {} : { prompt: request.sharedPrompt }),
+      mayBegin: () => this.mayBegin(),
     });
     const endpoint = await this.ticket.endpoint;
     this.ticket = undefined;
--- a/packages/forwarding/src/protocol.ts
+++ b/packages/forwarding/src/protocol.ts
@@ -26,6 +26,8 @@
   readonly prompt?: string;
   /** Part of its prompt that other requests share. */
   readonly sharedPrompt?: SharedPrompt;
+  /** Maximum number of tokens of the response; undefined if the caller does not state it. */
+  readonly maxOutputTokens?: number;
 }
 
 /** Values that one send adds to the request. */
--- a/packages/gateway/src/graceful-shutdown.ts
+++ b/packages/gateway/src/graceful-shutdown.ts
@@ -1,17 +1,12 @@
 /**
  * Phases of a graceful shutdown: an entry keeps serving while callers may have its address cached,
- * then refuses new requests so that those in progress can complete, and closes before it is killed.
+ * begins only what can end in time, and closes before it is killed.
  */
 import { setTimeout as pause } from 'node:timers/promises';
 
 const POLL_MS = 20;
 /** Time before the process is killed at which connections are closed. */
-const CLOSE_BEFORE_KILL_MS = 700;
-/**
- * Time before connections are closed from which new requests are refused as not executed, so that
- * those in progress can complete: callers may use their connections until the process exits.
- */
-const REFUSE_BEFORE_CLOSE_MS = 1500;
+const CLOSE_BEFORE_KILL_MS = 500;
 
 /** Options of {@link GracefulShutdown}. */
 export interface GracefulShutdownOptions {
@@ -27,7 +22,7 @@
 /** The graceful shutdown of one process. */
 export class GracefulShutdown {
   private readonly options: GracefulShutdownOptions;
-  private begun = false;
+  private closeAtMs: number | undefined;
   private closing = false;
 
   constructor(options: GracefulShutdownOptions) {
@@ -36,12 +31,18 @@
 
   /** Whether the shutdown has begun. */
   get hasBegun(): boolean {
-    return this.begun;
+    return this.closeAtMs !== undefined;
+  }
+
+  /** Time until connections are closed; Infinity before the shutdown. */
+  get timeLeftMs(): number {
+    if (this.closing) return 0;
+    return (this.closeAtMs ?? Infinity) - this.options.nowMs();
   }
 
-  /** Whether the last phase has begun, in which new requests are refused. */
-  get isClosing(): boolean {
-    return this.closing;
+  /** Whether a call that lasts this long at most would end before connections are closed. */
+  mayBegin(longestMs: number): boolean {
+    return !this.closing && longestMs <= this.timeLeftMs;
   }
 
   /**
@@ -50,17 +51,12 @@
    */
   async run(itemsReturned: Promise<void>): Promise<void> {
     const { nowMs, stopWithinMs, addressKeepMs, openRequests } = this.options;
-    this.begun = true;
     const beganAtMs = nowMs();
     const closeAtMs = beganAtMs + stopWithinMs - CLOSE_BEFORE_KILL_MS;
-    const refuseFromMs = closeAtMs - REFUSE_BEFORE_CLOSE_MS;
+    this.closeAtMs = closeAtMs;
     // Callers may use this entry until their cached addresses expire.
-    const cachedUntilMs = Math.min(beganAtMs + addressKeepMs, refuseFromMs);
-    await pause(Math.max(0, cachedUntilMs - nowMs()));
-    while (openRequests() > 0 && nowMs() < closeAtMs) {
-      this.closing = nowMs() >= refuseFromMs;
-      await pause(POLL_MS);
-    }
+    await pause(Math.max(0, Math.min(beganAtMs + addressKeepMs, closeAtMs) - nowMs()));
+    while (openRequests() > 0 && nowMs() < closeAtMs) await pause(POLL_MS);
     this.closing = true;
     await Promise.race([itemsReturned, pause(Math.max(0, closeAtMs - nowMs()))]);
   }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,8 +1,10 @@
 /**
  * Handles callers' requests: finds the route, checks the workspace's quota, computes the deadline
- * and forwards. Requests without a route, or in the last phase of a graceful shutdown, are refused.
+ * and forwards. Requests without a route are refused, as are those that could not end before this process stops.
  */
 import { CallerTimeLimits } from '@shedline/admission';
+import { CallDurations } from '@shedline/draining';
+import type { CallLimits, ObservedCall } from '@shedline/draining';
 import { chooseService } from '@shedline/fleet';
 import type { KnownFleet, Route, RouteTable, Workspace } from '@shedline/fleet';
 import type { ResponseSink, CallerRequest, ForwardEnd, Forwarder } from '@shedline/forwarding';
@@ -39,6 +41,8 @@
   readonly routes: RouteTable;
   /** Time of the caller's request on the entry's clock. */
   readonly askedAtMs: number;
+  /** Deadline of the request, on the same clock. */
+  readonly deadlineMs: number;
 }
 
 /** Options of {@link RequestHandler}. */
@@ -47,7 +51,7 @@
   readonly forwarder: Forwarder;
   readonly quotas: Pick<QuotaEnforcer, 'admit' | 'refund'>;
   readonly origins: Pick<StreamOrigins, 'begun' | 'find' | 'isCertain'>;
-  readonly stop: Pick<GracefulShutdown, 'isClosing'>;
+  readonly stop: Pick<GracefulShutdown, 'hasBegun' | 'mayBegin' | 'timeLeftMs'>;
   readonly metrics: ProcessMetrics;
   readonly logger: Logger;
   readonly random: () => number;
@@ -57,12 +61,14 @@
 /** Forwards the requests of callers, and counts those in progress. */
 export class RequestHandler {
   private readonly options: RequestHandlerOptions;
+  private readonly durations: CallDurations;
   private openCount = 0;
   /** Time limits observed from callers, by route name. */
   private readonly timeLimits = new Map<string, CallerTimeLimits>();
 
   constructor(options: RequestHandlerOptions) {
     this.options = options;
+    this.durations = new CallDurations(options);
   }
 
   /** Number of requests in progress. */
@@ -72,18 +78,20 @@
 
   /** Forwards a request and writes the response to the sink. */
   async forward(incoming: IncomingRequest, sink: ResponseSink): Promise<void> {
-    const { caller, host, workspace, heldMs } = incoming;
-    if (this.options.stop.isClosing) {
-      this.refuseAtShutdown(caller.requestId, sink);
-      return;
-    }
+    const { caller, host, workspace, heldMs, timeLeftMs } = incoming;
     const { routes } = this.options.fleet;
     const route = routes?.find(host, caller.path);
     if (routes === undefined || route === undefined) {
       this.refuseUnrouted(incoming, sink);
       return;
     }
-    const admitted = { ...incoming, route, routes, askedAtMs: this.options.nowMs() - heldMs };
+    const askedAtMs = this.options.nowMs() - heldMs;
+    const deadlineMs = askedAtMs + Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
+    const admitted = { ...incoming, route, routes, askedAtMs, deadlineMs };
+    if (!this.mayBegin(admitted)) {
+      this.refuseAtShutdown(admitted, sink);
+      return;
+    }
     this.openCount += 1;
     try {
       const verdict = await this.checkQuota(workspace, routes);
@@ -106,7 +114,9 @@
   private async forwardAdmitted(admitted: AdmittedRequest, sink: ResponseSink): Promise<void> {
     const { workspace, route, routes, askedAtMs } = admitted;
     const { quotas, metrics, nowMs } = this.options;
-    const end = await this.forwardStream(admitted, sink);
+    const call = this.durations.begin(route.name, admitted.caller.maxOutputTokens);
+    const end = await this.forwardStream(admitted, sink, call);
+    call.end(end !== 'refused');
     if (end === 'refused' && workspace !== undefined) quotas.refund(workspace, routes.version);
     const { name } = route;
     metrics.count('shedline_requests_total', { route: name, outcome: end });
@@ -114,8 +124,12 @@
   }
 
   /** Forwards a request to the software version that began its stream, if it continues one. */
-  private async forwardStream(admitted: AdmittedRequest, sink: ResponseSink): Promise<ForwardEnd> {
-    const { caller, workspace, host, route, routes, timeLeftMs, askedAtMs } = admitted;
+  private async forwardStream(
+    admitted: AdmittedRequest,
+    sink: ResponseSink,
+    call: ObservedCall,
+  ): Promise<ForwardEnd> {
+    const { caller, workspace, host, route, routes, timeLeftMs, askedAtMs, deadlineMs } = admitted;
     const { forwarder, origins, random } = this.options;
     const origin = await this.originOf(admitted);
     if (origin === 'unknown') {
@@ -123,7 +137,6 @@
       return 'refused';
     }
     const service = origin?.service ?? chooseService(route, random());
-    const limitMs = Math.min(route.timeLimitMs, timeLeftMs ?? route.timeLimitMs);
     const { requestId } = caller;
     const attempt: StreamAttempt = { host, workspace: workspace?.name, requestId };
     return forwarder.run({
@@ -132,7 +145,7 @@
       service,
       rank: workspace?.rank ?? route.rank,
       version: routes.version,
-      deadlineMs: askedAtMs + limitMs,
+      deadlineMs,
       arrivedAtMs: askedAtMs,
       firstAttemptAtMs: askedAtMs - this.callerAgeMs(route, timeLeftMs),
       sink,
@@ -142,7 +155,9 @@
             softwareVersion: origin.softwareVersion,
             isOriginCertain: () => origins.isCertain(resumedAttemptOf(admitted)),
           }),
+      mayBegin: () => this.mayBegin(admitted),
       onFirstEvent: ({ endpointId: writer, softwareVersion }) => {
+        call.firstPart();
         if (!route.isResumable) return;
         const { timeLimitMs } = route;
         origins.begun({ attempt, service, softwareVersion, writer, timeLimitMs });
@@ -185,8 +200,31 @@
     return timeLimits.sinceFirstAttemptMs(timeLeftMs);
   }
 
-  private refuseAtShutdown(request: string, sink: ResponseSink): void {
-    this.options.logger.info('request refused', { step: 'stop', request, outcome: 503 });
+  /** Whether a request can be expected to end before this process closes its connections. */
+  private mayBegin(admitted: AdmittedRequest): boolean {
+    const { stop } = this.options;
+    return !stop.hasBegun || stop.mayBegin(this.longestMs(admitted));
+  }
+
+  /** Returns the time that a request is expected to take at most from now on. */
+  private longestMs({ route, caller, deadlineMs }: AdmittedRequest): number {
+    const limitMs = deadlineMs - this.options.nowMs();
+    const limits: CallLimits = { limitMs, maxOutput: caller.maxOutputTokens };
+    return this.durations.longestMs(route.name, limits);
+  }
+
+  private refuseAtShutdown(admitted: AdmittedRequest, sink: ResponseSink): void {
+    const { caller, route } = admitted;
+    const { logger, metrics, stop } = this.options;
+    logger.info('request refused', {
+      step: 'stop',
+      request: caller.requestId,
+      route: route.name,
+      outcome: 503,
+      longestMs: Math.round(this.longestMs(admitted)),
+      closesInMs: Math.round(stop.timeLeftMs),
+    });
+    metrics.count('shedline_refused_at_stop_total', { route: route.name });
     sink.refuse(503, { retryAfterMs: STOPPING_RETRY_MS });
   }
 
