Wait for calls of every kind at a stop, and answer what cannot end

Cause: the exit waited for forwarded requests only; every other kind of call has its own way into the entry and was not counted.

The exit now waits for all calls, counted where a server receives them. What is open half a second before the kill gets the truest answer that is left, new calls are refused as not run, and a read waits no longer than the entry can.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -52,6 +52,8 @@
   private readonly tried = new Set<string>();
   private readonly startedAtMs: number;
   private isCallerGone = false;
+  /** Whether the request must end now, as this process stops. */
+  private mustEnd = false;
   private ticket: QueueTicket | undefined;
   private waitedMs = 0;
   private isHeadSent = false;
@@ -102,6 +104,13 @@
     });
   }
 
+  /** Ends the request with the best answer that can still be given. */
+  end(): void {
+    this.mustEnd = true;
+    this.ticket?.leave();
+    this.running?.stop();
+  }
+
   async run(): Promise<ForwardEnd> {
     const refusal = this.content.needsAdmission ? await this.admit() : undefined;
     let step = refusal ?? this.plan.first();
@@ -180,6 +189,7 @@
 
   /** Whether the request may still be sent; a response that has begun is completed. */
   private mayBegin(): boolean {
+    if (this.mustEnd) return false;
     return this.isHeadSent || this.task.mayBegin?.() !== false;
   }
 
@@ -323,7 +333,7 @@
       },
     );
     this.running = running;
-    if (this.isCallerGone) running.stop();
+    if (this.isCallerGone || this.mustEnd) running.stop();
     const timer = setTimeout(() => {
       running.stop();
     }, timeLeftMs);
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -9,6 +9,7 @@
 export class Forwarder {
   private readonly options: ForwarderOptions;
   private readonly queue: EndpointQueue;
+  private readonly open = new Set<ForwardedRequest>();
 
   constructor(options: ForwarderOptions) {
     this.options = options;
@@ -21,7 +22,21 @@
   }
 
   /** Forwards a request; resolves when it has ended. */
-  run(task: ForwardTask): Promise<ForwardEnd> {
-    return new ForwardedRequest(this.options, this.queue, task).run();
+  async run(task: ForwardTask): Promise<ForwardEnd> {
+    const request = new ForwardedRequest(this.options, this.queue, task);
+    this.open.add(request);
+    try {
+      return await request.run();
+    } finally {
+      this.open.delete(request);
+    }
+  }
+
+  /**
+   * Ends all requests in progress: those that were not sent are refused, those without any part of a
+   * response fail, and the others are aborted.
+   */
+  endAll(): void {
+    for (const request of this.open) request.end();
   }
 }
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -129,7 +129,7 @@
       nowMs: this.nowMs,
       stopWithinMs: settings.stopWithinS * 1000,
       addressKeepMs: settings.addressKeepS * 1000,
-      openRequests: () => this.requestHandler.openRequests,
+      openCalls: this.openCalls,
     });
     this.startupGate = new StartupGate({
       nowMs: this.nowMs,
@@ -225,7 +225,7 @@
       ports: (group) => this.storeConnections.ports(group),
       maxAttemptMs: MAX_STORE_ATTEMPT_MS,
     });
-    this.jobs = new JobService({ stores: storeCaller, fleet, logger });
+    this.jobs = new JobService({ stores: storeCaller, fleet, stop: this.shutdown, logger });
     this.itemRunner = new ItemRunner({
       holder: `${name}/${this.core.epoch}`,
       self: name,
@@ -246,6 +246,10 @@
       metrics: this.metrics,
       logger,
     });
+    this.shutdown.onClosing(() => {
+      this.startupGate.open();
+      this.forwarder.endAll();
+    });
     this.addGauges();
   }
 
@@ -282,6 +286,16 @@
     return this.shutdown.hasBegun;
   }
 
+  /** Whether new calls are refused, as the process is about to exit. */
+  get isClosing(): boolean {
+    return this.shutdown.isClosing;
+  }
+
+  /** See {@link GracefulShutdown.onClosing}. */
+  onClosing(listener: () => void): () => void {
+    return this.shutdown.onClosing(listener);
+  }
+
   /** Size and time limits for callers' requests; undefined before the first configuration. */
   get limits(): CallerLimits | undefined {
     return this.follower.fleet.routes?.configuration.limits;
@@ -319,7 +333,8 @@
 
   /**
    * Shuts down gracefully: withdraws this entry's address, keeps serving while callers may still
-   * have it cached, and returns batch items. Resolves when caller connections may be closed.
+   * have it cached, and returns batch items. Resolves when all calls have been answered, or when
+   * there is no time left for that.
    */
   async drain(): Promise<void> {
     this.core.mesh.setState('draining');
--- a/packages/gateway/src/graceful-shutdown.ts
+++ b/packages/gateway/src/graceful-shutdown.ts
@@ -1,12 +1,16 @@
 /**
  * Phases of a graceful shutdown: an entry keeps serving while callers may have its address cached,
- * begins only what can end in time, and closes before it is killed.
+ * begins only what can end in time, and answers what is still open before it is killed.
  */
 import { setTimeout as pause } from 'node:timers/promises';
+import type { OpenCalls } from '@shedline/draining';
 
-const POLL_MS = 20;
-/** Time before the process is killed at which connections are closed. */
+/** Time before the process is killed at which the calls still open are answered. */
 const CLOSE_BEFORE_KILL_MS = 500;
+/** Time before the process is killed at which it exits, whatever is open. */
+const EXIT_BEFORE_KILL_MS = 250;
+/** Part of the time left that a call waiting for something leaves for its response. */
+const RESPONSE_MARGIN_MS = 200;
 
 /** Options of {@link GracefulShutdown}. */
 export interface GracefulShutdownOptions {
@@ -15,14 +19,15 @@
   readonly stopWithinMs: number;
   /** Time for which callers cache the addresses of entries. */
   readonly addressKeepMs: number;
-  /** Returns the number of requests in progress. */
-  readonly openRequests: () => number;
+  /** Calls in progress at this process. */
+  readonly openCalls: Pick<OpenCalls, 'waitUntilNone'>;
 }
 
 /** The graceful shutdown of one process. */
 export class GracefulShutdown {
   private readonly options: GracefulShutdownOptions;
-  private closeAtMs: number | undefined;
+  private readonly closeListeners = new Set<() => void>();
+  private beganAtMs: number | undefined;
   private closing = false;
 
   constructor(options: GracefulShutdownOptions) {
@@ -31,13 +36,26 @@
 
   /** Whether the shutdown has begun. */
   get hasBegun(): boolean {
-    return this.closeAtMs !== undefined;
+    return this.beganAtMs !== undefined;
   }
 
-  /** Time until connections are closed; Infinity before the shutdown. */
+  /** Whether the calls still open get their last answers, and new ones are refused. */
+  get isClosing(): boolean {
+    return this.closing;
+  }
+
+  /** Time until calls still open get their last answers; Infinity before the shutdown. */
   get timeLeftMs(): number {
-    if (this.closing) return 0;
-    return (this.closeAtMs ?? Infinity) - this.options.nowMs();
+    return this.closing ? 0 : this.untilKillMs - CLOSE_BEFORE_KILL_MS;
+  }
+
+  /** Time for which a call may be kept waiting for something that it could also do without. */
+  get waitLimitMs(): number {
+    const { beganAtMs, options } = this;
+    if (beganAtMs === undefined) return Infinity;
+    // Later calls come one after another, and each would keep the process from exiting.
+    if (options.nowMs() >= beganAtMs + options.addressKeepMs) return 0;
+    return Math.max(0, this.timeLeftMs - RESPONSE_MARGIN_MS);
   }
 
   /** Whether a call that lasts this long at most would end before connections are closed. */
@@ -46,18 +64,32 @@
   }
 
   /**
-   * Resolves when connections may be closed; `itemsReturned` resolves when batch items are
-   * returned.
+   * Registers a listener that gives an open call its last answer; returns a function that removes
+   * it.
    */
+  onClosing(listener: () => void): () => void {
+    this.closeListeners.add(listener);
+    return () => {
+      this.closeListeners.delete(listener);
+    };
+  }
+
+  /** Resolves when the process may exit; `itemsReturned` resolves when batch items are returned. */
   async run(itemsReturned: Promise<void>): Promise<void> {
-    const { nowMs, stopWithinMs, addressKeepMs, openRequests } = this.options;
-    const beganAtMs = nowMs();
-    const closeAtMs = beganAtMs + stopWithinMs - CLOSE_BEFORE_KILL_MS;
-    this.closeAtMs = closeAtMs;
+    const { nowMs, addressKeepMs, openCalls } = this.options;
+    this.beganAtMs = nowMs();
     // Callers may use this entry until their cached addresses expire.
-    await pause(Math.max(0, Math.min(beganAtMs + addressKeepMs, closeAtMs) - nowMs()));
-    while (openRequests() > 0 && nowMs() < closeAtMs) await pause(POLL_MS);
+    const mayClose = Promise.all([pause(Math.min(addressKeepMs, this.timeLeftMs)), itemsReturned]);
+    await Promise.race([mayClose, pause(this.timeLeftMs, undefined, { ref: false })]);
+    await openCalls.waitUntilNone(this.timeLeftMs);
     this.closing = true;
-    await Promise.race([itemsReturned, pause(Math.max(0, closeAtMs - nowMs()))]);
+    for (const answer of [...this.closeListeners]) answer();
+    await openCalls.waitUntilNone(this.untilKillMs - EXIT_BEFORE_KILL_MS);
+  }
+
+  /** Time until the process is killed; Infinity before the shutdown. */
+  private get untilKillMs(): number {
+    const { beganAtMs, options } = this;
+    return beganAtMs === undefined ? Infinity : beganAtMs + options.stopWithinMs - options.nowMs();
   }
 }
--- a/packages/gateway/src/job-service.ts
+++ b/packages/gateway/src/job-service.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '@shedline/logger';
 import { groupOf } from '@shedline/types';
 import type { EndAnswer, SubmitAnswer, SubmittedItem } from '@shedline/whole-jobs';
+import type { GracefulShutdown } from './graceful-shutdown.js';
 
 /** Maximum number of items in one job. */
 const MAX_ITEMS = 200;
@@ -48,9 +49,13 @@
 export interface JobServiceOptions {
   readonly stores: GroupCaller;
   readonly fleet: KnownFleet;
+  readonly stop: Pick<GracefulShutdown, 'onClosing' | 'waitLimitMs'>;
   readonly logger: Logger;
 }
 
+/** Methods that change nothing, so that their callers may be told that nothing was executed. */
+const READING_METHODS: ReadonlySet<string> = new Set(['jobResults', 'itemBody']);
+
 /** Returns the key of a route under which entries request its items from the stores. */
 export function routeKeyOf(route: Route): string {
   return `${route.host}${route.pathPrefix}`;
@@ -131,20 +136,22 @@
   }
 
   /**
-   * Returns the results from a position on, after waiting up to `waitMs` for the first of them;
-   * undefined if there is no such job.
+   * Returns the results from a position on, after waiting up to `waitMs` for the first of them, or
+   * less if this process stops; undefined if there is no such job.
    */
   async results(
     job: JobReference,
     { position, waitMs }: { readonly position: number; readonly waitMs: number },
   ): Promise<ResultsAnswer> {
-    const body = { jobId: storedJobId(job), position, waitMs, maxBytes: MAX_RESULTS_BYTES };
-    return (await this.call(
-      'jobResults',
-      job.host,
-      body,
-      waitMs + CALL_TIMEOUT_MS,
-    )) as ResultsAnswer;
+    const limitedWaitMs = Math.min(waitMs, this.options.stop.waitLimitMs);
+    const body = {
+      jobId: storedJobId(job),
+      position,
+      waitMs: limitedWaitMs,
+      maxBytes: MAX_RESULTS_BYTES,
+    };
+    const timeoutMs = limitedWaitMs + CALL_TIMEOUT_MS;
+    return (await this.call('jobResults', job.host, body, timeoutMs)) as ResultsAnswer;
   }
 
   /** Returns the body of an item; undefined if there is none. */
@@ -187,6 +194,24 @@
       throw new ShedlineError({ type: 'unavailable', message, step: method, ran: 'no' });
     }
     const group = jobGroupOf(host, cluster.jobGroupCount);
-    return this.options.stores.call(method, group, { group, body }, timeoutMs);
+    const answer = this.options.stores.call(method, group, { group, body }, timeoutMs);
+    return this.untilClosing(method, answer);
+  }
+
+  /** Returns an answer of the stores, or fails when this process is about to exit. */
+  private untilClosing(method: string, answer: Promise<unknown>): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      const removeListener = this.options.stop.onClosing(() => {
+        reject(stoppedError(method));
+      });
+      answer.finally(removeListener).then(resolve, reject);
+    });
   }
 }
+
+function stoppedError(method: string): ShedlineError {
+  const message = 'this entry stops; call another one';
+  return READING_METHODS.has(method)
+    ? new ShedlineError({ type: 'unavailable', message, step: method, ran: 'no' })
+    : new ShedlineError({ type: 'deadline_exceeded', message, step: method, ran: 'unknown' });
+}
