Refuse the calls held by an entry that is stopped while it starts

Cause: callers that come while an entry starts are held until it knows the routes, for up to 1.5 s. A SIGTERM in that time let the process exit after 0.5 s at the latest, with the held calls unanswered.

The entry is told of the stop while it starts, and refuses what it holds and what comes later as not run. Responses to calls that arrive after a stop request close their connections, whichever server sends them.

--- a/packages/draining/src/open-calls.test.ts
+++ b/packages/draining/src/open-calls.test.ts
@@ -67,4 +67,22 @@
       t.is(openCalls.count, 0);
     },
   );
+
+  test(title('closes the connections of calls that arrive while the process stops'), async (t) => {
+    const openCalls = new OpenCalls();
+    const server = createServer((_incoming, response) => response.end('done'));
+    trackCalls(server, openCalls, () => 'test');
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    t.teardown(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const connectionHeader = async (): Promise<string | undefined> => {
+      const response = await fetch(`http://127.0.0.1:${port}/`);
+      await response.text();
+      return response.headers.get('connection') ?? undefined;
+    };
+    t.is(await connectionHeader(), 'keep-alive');
+    openCalls.stop();
+    t.is(await connectionHeader(), 'close');
+  });
 });
--- a/packages/draining/src/open-calls.ts
+++ b/packages/draining/src/open-calls.ts
@@ -15,6 +15,7 @@
   private readonly kinds = new Map<string, number>();
   private readonly waiters = new Set<() => void>();
   private openCount = 0;
+  private isStopping = false;
 
   /** Number of calls in progress. */
   get count(): number {
@@ -26,6 +27,16 @@
     return [...this.kinds].map(([kind, count]) => `${kind}=${count}`);
   }
 
+  /** Whether the process stops, so that connections are not kept open for further calls. */
+  get closesConnections(): boolean {
+    return this.isStopping;
+  }
+
+  /** Notes that the process stops. */
+  stop(): void {
+    this.isStopping = true;
+  }
+
   /** Notes that a call has begun. */
   begin(kind: string): OpenCall {
     this.add(kind, 1);
@@ -62,7 +73,10 @@
   }
 }
 
-/** Counts the calls of a server, whatever handles them; `kindOf` names their kind from their head. */
+/**
+ * Counts the calls of a server, whatever handles them; `kindOf` names their kind from their head. Once
+ * the process stops, the responses to new calls close their connections.
+ */
 export function trackCalls(
   server: Server,
   openCalls: OpenCalls,
@@ -70,6 +84,7 @@
 ): void {
   server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
     const call = openCalls.begin(kindOf(request));
+    if (openCalls.closesConnections) response.shouldKeepAlive = false;
     response.once('close', () => {
       call.end();
     });
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -338,6 +338,7 @@
    */
   async drain(): Promise<void> {
     this.core.mesh.setState('draining');
+    this.openCalls.stop();
     this.logger.info('draining', { step: 'stop', ...this.openWork() });
     await this.shutdown.run(this.itemRunner.drain());
     this.logger.info('drained', { step: 'stop', ...this.openWork() });
@@ -353,6 +354,12 @@
     };
   }
 
+  /** Refuses the calls that wait for the start, and all later ones: the process is to stop. */
+  refuseCalls(): void {
+    this.openCalls.stop();
+    this.shutdown.refuseCalls();
+  }
+
   /** Closes all connections to the fleet and to the endpoints. */
   async close(): Promise<void> {
     clearInterval(this.tickTimer);
--- a/packages/gateway/src/graceful-shutdown.ts
+++ b/packages/gateway/src/graceful-shutdown.ts
@@ -74,17 +74,29 @@
     };
   }
 
+  /** Gives the calls still open their last answers, and refuses new ones. */
+  refuseCalls(): void {
+    if (this.closing) return;
+    this.closing = true;
+    for (const answer of [...this.closeListeners]) answer();
+  }
+
   /** Resolves when the process may exit; `itemsReturned` resolves when batch items are returned. */
   async run(itemsReturned: Promise<void>): Promise<void> {
-    const { nowMs, addressKeepMs, openCalls } = this.options;
+    const { nowMs, openCalls } = this.options;
     this.beganAtMs = nowMs();
+    if (!this.closing) await this.serve(itemsReturned);
+    this.refuseCalls();
+    await openCalls.waitUntilNone(this.untilKillMs - EXIT_BEFORE_KILL_MS);
+  }
+
+  /** Resolves when no call is in progress and none is expected, or when no time is left. */
+  private async serve(itemsReturned: Promise<void>): Promise<void> {
+    const { addressKeepMs, openCalls } = this.options;
     // Callers may use this entry until their cached addresses expire.
     const mayClose = Promise.all([pause(Math.min(addressKeepMs, this.timeLeftMs)), itemsReturned]);
     await Promise.race([mayClose, pause(this.timeLeftMs, undefined, { ref: false })]);
     await openCalls.waitUntilNone(this.timeLeftMs);
-    this.closing = true;
-    for (const answer of [...this.closeListeners]) answer();
-    await openCalls.waitUntilNone(this.untilKillMs - EXIT_BEFORE_KILL_MS);
   }
 
   /** Time until the process is killed; Infinity before the shutdown. */
