Wait for operators' calls where an entry with listed peers drains

Calls are now counted where the server receives them.

cli/online, 'a draining entry answers an operator whose body is still arriving', failed before with a closed connection. Open: such an entry still begins calls until its drain timeout, 30 s by default, whatever they may last.

--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import { ShedlineClient } from '@shedline/client';
@@ -202,6 +205,27 @@
     }),
   );
 
+  // Guards against a stop that waits for the calls of callers only.
+  test.serial(title('a draining entry answers an operator whose body is still arriving'), (t) =>
+    withFleet({}, async (fleet) => {
+      const [url = ''] = fleet.urls;
+      const edit = request(`${url}/v1/table`, {
+        method: 'PUT',
+        headers: { Authorization: `Bearer ${FLEET_TOKENS.operator}`, 'Content-Length': '2' },
+      });
+      edit.write('{');
+      await pause(100);
+      const drained = fleet.entries[0]?.drain();
+      // Longer than a draining entry waits if no call is in progress.
+      await pause(600);
+      edit.end('}');
+      const [response] = (await once(edit, 'response')) as [IncomingMessage];
+      response.resume();
+      t.is(response.statusCode, 400, 'not a table');
+      await drained;
+    }),
+  );
+
   test.serial(title('an entry drained under load aborts no request, and callers use others'), (t) =>
     withFleet(
       { engines: 3, entries: 3, engine: { times: { ...FAST, stepMs: 10 } } },
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -9,6 +9,7 @@
 import type { ServerType } from '@hono/node-server';
 import type { EntrySettings, Settings } from '@shedline/config';
 import type { ControlClient } from '@shedline/control-client';
+import { OpenCalls, trackCalls } from '@shedline/draining';
 import type { Logger } from '@shedline/logger';
 import { ShedlineError } from '@shedline/errors';
 import { BurnRecorder, EntryMetrics, LatencyRecorder } from '@shedline/metrics';
@@ -73,7 +74,9 @@
   private url = '';
   private isDraining = false;
   private isReady = false;
-  private openRequests = 0;
+  /** Calls of every kind in progress, also those of operators and endpoints. */
+  private readonly openCalls = new OpenCalls();
+  private callerRequests = 0;
   private startedRequests = 0;
   private lastRequestNumber = 0;
   private timers: NodeJS.Timeout[] = [];
@@ -177,7 +180,7 @@
     if (this.hasOtherEntries()) await pause(this.entry.keepForMs + DRAIN_PROPAGATION_MS);
     await this.waitUntilQuiet(this.nowMs() + this.entry.drainTimeoutMs);
     await batchDrained;
-    this.logger.info('drained', { step: 'drain', cutRequests: this.openRequests });
+    this.logger.info('drained', { step: 'drain', cutCalls: this.openCalls.byKind });
     await this.kill();
   }
 
@@ -191,7 +194,7 @@
     let lastStartedRequests = this.startedRequests;
     while (this.nowMs() < deadlineMs && this.nowMs() - quietSinceMs < QUIET_PERIOD_MS) {
       await pause(POLL_INTERVAL_MS);
-      const isQuiet = this.openRequests === 0 && this.startedRequests === lastStartedRequests;
+      const isQuiet = this.openCalls.count === 0 && this.startedRequests === lastStartedRequests;
       if (!isQuiet) quietSinceMs = this.nowMs();
       lastStartedRequests = this.startedRequests;
     }
@@ -293,9 +296,9 @@
       },
       isServing: () => !this.isDraining,
       trackOpenRequests: (change) => {
-        this.openRequests += change;
+        this.callerRequests += change;
         if (change === 1) this.startedRequests += 1;
-        this.metrics.setOpenRequests('online', this.openRequests);
+        this.metrics.setOpenRequests('online', this.callerRequests);
       },
       logger: this.logger,
     });
@@ -312,6 +315,10 @@
         resolve,
       );
       server.once('error', reject);
+      trackCalls(server as Server, this.openCalls, ({ method = '', url = '' }) => {
+        const [path = ''] = url.split('?');
+        return `${method} ${path}`;
+      });
       this.server = server;
     });
   }
@@ -409,7 +416,7 @@
       revision: this.fleet.table.revision,
       fresh: this.reader.isFresh,
       draining: this.isDraining,
-      openRequests: this.openRequests,
+      openRequests: this.callerRequests,
       batchStreams: this.batch.running,
       latencies: this.latencies.summaries(),
       entries: this.reader.entries,
