--- a/packages/soak/src/expected-response.ts
+++ b/packages/soak/src/expected-response.ts
@@ -9,12 +9,21 @@
 /** Prefix of the ids of requests with {@link LONG_EVENTS} events, about as many as items of jobs have. */
 export const LONG_PREFIX = 'long-';
 const LONG_EVENTS = 150;
+/** Ids of requests that state the number of their events. */
+const SIZED_ID = /^sized-(\d+)-/;
 const VERSION_MARK = '@';
 /** Prefix of the ids of requests that always fail. */
 export const POISON_PREFIX = 'poison-';
 
+/** Returns the prefix of the ids of requests with this number of events. */
+export function sizedPrefix(eventCount: number): string {
+  return `sized-${eventCount}-`;
+}
+
 /** Returns the number of events in the response to a request. */
 export function eventCountOf(requestId: string): number {
+  const stated = SIZED_ID.exec(requestId)?.[1];
+  if (stated !== undefined) return Number(stated);
   if (requestId.startsWith(LONG_PREFIX)) return LONG_EVENTS;
   return MIN_EVENTS + Math.floor(unitHash(requestId) * (MAX_EVENTS - MIN_EVENTS));
 }
--- a/packages/soak/src/promise-checker.test.ts
+++ b/packages/soak/src/promise-checker.test.ts
@@ -233,6 +233,18 @@
     t.deepEqual(promises(checker), ['results are whole']);
   });
 
+  test(title('reports a cut response unless it had reached its time limit'), (t) => {
+    const withCutAt = (atMs: number): PromiseChecker => {
+      const checker = createChecker();
+      checker.requestSent('q', { entry: 'entry-1', kind: 'once', atMs: 0, limitMs: 4000 });
+      checker.requestRan('q', 'e', 1);
+      checker.requestEnded('q', { kind: 'cut', reason: 'reset', text: '' }, atMs);
+      return checker;
+    };
+    t.deepEqual(promises(withCutAt(3999)), ['nothing is cut in calm']);
+    t.deepEqual(promises(withCutAt(4000)), []);
+  });
+
   test(title('does not report a broken request whose endpoint was crashed by a content'), (t) => {
     const checker = createChecker();
     checker.requestSent('q', { entry: 'entry-1', kind: 'once', atMs: 0 });
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -47,6 +47,8 @@
   readonly atMs: number;
   /** Content of the request, or the part of its prompt, that crashes endpoints. */
   readonly crashingContent?: string;
+  /** Time after which a response may be cut because it lasts too long; never if omitted. */
+  readonly limitMs?: number;
   /** The stream that the request continues, and what its caller has of it. */
   readonly continues?: BegunStream;
 }
@@ -101,6 +103,7 @@
   endedAtMs?: number;
   readonly ranAtMs: number[];
   readonly crashingContent: string | undefined;
+  readonly limitMs: number | undefined;
   readonly continues: BegunStream | undefined;
 }
 
@@ -133,8 +136,8 @@
 
   /** Records that a caller sends a request. */
   requestSent(requestId: string, request: SentRequest): void {
-    const { entry, kind, atMs, crashingContent, continues } = request;
-    const sent = { entry, kind, sentAtMs: atMs, crashingContent, continues };
+    const { entry, kind, atMs, crashingContent, limitMs, continues } = request;
+    const sent = { entry, kind, sentAtMs: atMs, crashingContent, limitMs, continues };
     this.requests.set(requestId, { ...sent, ranAtMs: [] });
     if (continues !== undefined) this.count('streams continued');
   }
@@ -153,8 +156,10 @@
     const isRelevant: TargetFilter = (target) =>
       target === record.entry || target.startsWith('endpoint');
     const isUndisturbed = !this.crashingContents.hasCrashBetween(record.sentAtMs, atMs);
+    const isAtLimit = atMs - record.sentAtMs >= (record.limitMs ?? Infinity);
     if (
       isBroken &&
+      !isAtLimit &&
       hasRun &&
       isUndisturbed &&
       this.options.isUndisturbed(record.sentAtMs, atMs, isRelevant)
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -11,6 +11,7 @@
   CRASHING_PART_PREFIX,
   POISON_PREFIX,
   crashingItemId,
+  sizedPrefix,
 } from './expected-response.js';
 import { DISTINGUISHABLE_VERSIONS } from './fleet-adapter.js';
 import type { FleetAdapter, SoakCaller } from './fleet-adapter.js';
@@ -24,6 +25,8 @@
 
 const CALLERS = 8;
 const REQUEST_TIMEOUT_MS = 4000;
+/** Time by which a response may end before its time limit, as that is passed on in whole ms. */
+const TIMER_MARGIN_MS = 150;
 const CALLER_PAUSE_MS = 60;
 const JOB_PAUSE_MS = 900;
 const MAX_JOB_ITEMS = 8;
@@ -37,6 +40,10 @@
 const PUTS_WHILE_IMPAIRED = 4;
 /** Time after its acknowledgement within which every process must know a configuration. */
 const KNOWN_WITHIN_MS = 2000;
+/** Time between two streams of a caller whose streams differ in length. */
+const LONG_CALLER_PAUSE_MS = 150;
+/** Half of the time limit of a request, at the pace of the endpoints. */
+const MAX_LONG_EVENTS = 100;
 /** Time between two attempts of a caller whose content crashes endpoints. */
 const CRASHING_CALLER_PAUSE_MS = 300;
 /** Number of parts that sound requests and crashing ones share, besides the first. */
@@ -68,6 +75,11 @@
   readonly crashers?: number;
   /** Number of callers that each send different requests with a part which crashes endpoints. */
   readonly crashingParts?: number;
+  /**
+   * Number of callers that send streams of different lengths to all entries, whether or not callers
+   * would be directed to them.
+   */
+  readonly longCallers?: number;
 }
 
 /** What a request holds; its own id and the usual parts by default. */
@@ -76,6 +88,8 @@
   readonly crashing?: string;
   /** Whether it is the whole content. */
   readonly isWhole?: boolean;
+  /** Number of events of the response; a few if omitted. */
+  readonly eventCount?: number;
   readonly sharedParts?: readonly string[];
 }
 
@@ -105,7 +119,8 @@
     for (let caller = 0; caller < CALLERS; caller += 1) this.loops.push(this.callerLoop());
     this.loops.push(this.jobLoop(), this.operatorLoop(), this.configurationReadLoop());
     for (const entry of this.options.entries) this.loops.push(this.configurationCheckLoop(entry));
-    const { pacedPerS = 0, crashers = 0, crashingParts = 0 } = this.options;
+    const { pacedPerS = 0, crashers = 0, crashingParts = 0, longCallers = 0 } = this.options;
+    for (let index = 0; index < longCallers; index += 1) this.loops.push(this.longCallerLoop());
     for (let index = 0; index < crashers; index += 1)
       this.loops.push(this.crashingCallerLoop(index));
     for (let index = 0; index < crashingParts; index += 1)
@@ -208,6 +223,19 @@
     await Promise.all(pending);
   }
 
+  /** Sends streams of different lengths on new connections, also to entries that stop. */
+  private async longCallerLoop(): Promise<void> {
+    const pending: Promise<unknown>[] = [];
+    while (!this.hasStopped) {
+      const entry = pick(this.continuationRandom, this.options.entries);
+      const kind = pick(this.continuationRandom, ['once', 'resumable'] as const);
+      const eventCount = 1 + Math.floor(this.continuationRandom() * MAX_LONG_EVENTS);
+      pending.push(this.requestOnNewConnection(entry, kind, { eventCount }));
+      await pause(LONG_CALLER_PAUSE_MS);
+    }
+    await Promise.all(pending);
+  }
+
   /** Sends the same content with a new request id each time, to random entries. */
   private async crashingCallerLoop(index: number): Promise<void> {
     const content = `${CRASHER_PREFIX}${this.options.seed}-${index}`;
@@ -276,15 +304,18 @@
     caller: SoakCaller,
     { name: entry }: ProcessSpec,
     kind: RequestKind,
-    { crashing, isWhole = false, sharedParts = this.soundParts() }: RequestContent = {},
+    { crashing, isWhole = false, eventCount, sharedParts = this.soundParts() }: RequestContent = {},
   ): Promise<boolean> {
     const { checker, nowMs } = this.options;
-    const requestId = this.newId('q');
+    const ownId = this.newId('q');
+    const requestId = eventCount === undefined ? ownId : `${sizedPrefix(eventCount)}${ownId}`;
     checker.requestSent(requestId, {
       entry,
       kind,
       atMs: nowMs(),
       ...(crashing === undefined ? {} : { crashingContent: crashing }),
+      // Where endpoints are slowed by the machine, long responses reach their time limit.
+      ...(eventCount === undefined ? {} : { limitMs: REQUEST_TIMEOUT_MS - TIMER_MARGIN_MS }),
     });
     const mayLeave = kind === 'resumable' && crashing === undefined;
     const outcome = await caller.send({
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -68,6 +68,8 @@
   readonly crashers?: number;
   /** Number of callers whose requests have a part in their prompts that crashes endpoints. */
   readonly crashingParts?: number;
+  /** Number of callers that send streams of different lengths, also to entries that stop. */
+  readonly longCallers?: number;
 }
 
 /** Outcome of a run. */
@@ -177,6 +179,7 @@
       usableEntries: () => this.usableEntries(),
       crashers: options.crashers ?? 0,
       crashingParts: options.crashingParts ?? 0,
+      longCallers: options.longCallers ?? 0,
       pacedPerS: (options.silences ?? 0) > 0 ? PACED_PER_S : 0,
     });
   }
