Count only open items against the limit of cautious runs

Cause: an item that completed without the dispenser hearing of it kept its place in the limit until its lease expired, so that no other item that had lost three endpoints was granted.

--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -142,7 +142,7 @@
     if (time.nowMs < this.grantsFromMs) return { items: [], unleasedCount: waiting.length };
     this.runMs = request.runMs;
     const { slowdown } = this.slowdownEstimate;
-    const limits = { ...request, maxCautiousItems: this.freeCautiousRuns(time.nowMs) };
+    const limits = { ...request, maxCautiousItems: this.freeCautiousRuns(jobs, time.nowMs) };
     const selected = selectItems(waiting, limits, (a, b) => compareWaitingItems(a, b, slowdown));
     const items = selected.map(({ job, index, mustRunAlone, needsCaution }) => {
       const { jobId } = job.identity;
@@ -251,10 +251,14 @@
   }
 
   /** Number of items that need caution and may be granted now. */
-  private freeCautiousRuns(nowMs: number): number {
+  private freeCautiousRuns(jobs: WholeJobs, nowMs: number): number {
     let running = 0;
-    for (const { leases, cautious } of this.leasesByJob.values())
-      for (const index of cautious) if ((leases.get(index)?.expiresAtMs ?? 0) > nowMs) running += 1;
+    for (const [jobId, { leases, cautious }] of this.leasesByJob) {
+      for (const index of cautious) {
+        const isLeased = (leases.get(index)?.expiresAtMs ?? 0) > nowMs;
+        if (isLeased && jobs.get(jobId)?.mayRun(index) === true) running += 1;
+      }
+    }
     return Math.max(0, this.cautiousRuns.limit - running);
   }
 
