End the observation of a call also if it fails; figures of the stops

Cause: a call whose forwarding throws would have stayed among the calls in progress, and its age would have made a stopping entry refuse more and more.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -115,8 +115,12 @@
     const { workspace, route, routes, askedAtMs } = admitted;
     const { quotas, metrics, nowMs } = this.options;
     const call = this.durations.begin(route.name, admitted.caller.maxOutputTokens);
-    const end = await this.forwardStream(admitted, sink, call);
-    call.end(end !== 'refused');
+    let end: ForwardEnd = 'refused';
+    try {
+      end = await this.forwardStream(admitted, sink, call);
+    } finally {
+      call.end(end !== 'refused');
+    }
     if (end === 'refused' && workspace !== undefined) quotas.refund(workspace, routes.version);
     const { name } = route;
     metrics.count('shedline_requests_total', { route: name, outcome: end });
