Admit no request at a draining entry with listed peers that cannot end in time

What callers saw: status 200, a part of a stream, and a reset, at the end of a planned stop.

Change: the admission controller, which all online requests pass, observes how long they last, and while the entry drains admits only those that are expected to end before the drain timeout; the others are refused as not run. Without another entry that serves, all are begun, as a refused caller would find none.

--- a/packages/cli/src/online.test.ts
+++ b/packages/cli/src/online.test.ts
@@ -86,6 +86,27 @@
   return { status: 200, text, isWhole: raw.trimEnd().endsWith('[DONE]'), error, ranHeader };
 }
 
+/** Returns a message in response to which engines generate a number of tokens. */
+function contentOfLength(tokenCount: number): string {
+  for (let n = 0; ; n += 1) {
+    const content = `message ${n}`;
+    if (planGeneration(`user: ${content}`, undefined).tokenCount === tokenCount) return content;
+  }
+}
+
+/** What a caller got; `no connection` if the entry had already stopped listening. */
+async function outcomeOf(sent: Promise<ChatResult>): Promise<string> {
+  try {
+    const { isWhole, ranHeader } = await sent;
+    if (isWhole) return 'whole';
+    return ranHeader === 'no' ? 'not run' : 'cut';
+  } catch (error) {
+    const { cause } = error as Error;
+    const isRefused = (cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+    return isRefused ? 'no connection' : 'cut';
+  }
+}
+
 describe('online path', () => {
   test.serial(
     title(
@@ -226,6 +247,38 @@
     }),
   );
 
+  // Guards against a stop that begins requests until its time limit, and then aborts them.
+  test.serial(title('a draining entry aborts no stream that it accepts'), (t) =>
+    withFleet(
+      {
+        entries: 2,
+        engines: 2,
+        engine: { times: { ...FAST, stepMs: 50 } },
+        entry: { drainTimeoutMs: 1500 },
+      },
+      async (fleet) => {
+        const [url = ''] = fleet.urls;
+        const content = contentOfLength(20);
+        const known = Array.from({ length: 12 }, () => sendChat(url, chatBody(content)));
+        for (const result of await Promise.all(known)) t.true(result.isWhole);
+        const stopped = new AbortController();
+        const drained = fleet.entries[0]?.drain().then(() => {
+          stopped.abort();
+        });
+        const results: Promise<string>[] = [];
+        while (!stopped.signal.aborted) {
+          results.push(outcomeOf(sendChat(url, chatBody(content))));
+          await pause(100);
+        }
+        await drained;
+        const outcomes = await Promise.all(results);
+        t.false(outcomes.includes('cut'), outcomes.join(' '));
+        t.true(outcomes.includes('whole'), outcomes.join(' '));
+        t.true(outcomes.includes('not run'), outcomes.join(' '));
+      },
+    ),
+  );
+
   test.serial(title('an entry drained under load aborts no request, and callers use others'), (t) =>
     withFleet(
       { engines: 3, entries: 3, engine: { times: { ...FAST, stepMs: 10 } } },
--- a/packages/entry/src/admission-controller.ts
+++ b/packages/entry/src/admission-controller.ts
@@ -1,8 +1,11 @@
 /**
- * Admission of online requests at one entry: checks the limits of the row, then the overload gate.
+ * Admission of online requests at one entry: checks whether they can end before a stopping entry
+ * closes its connections, then the limits of the row, then the overload gate.
  */
 import { OverloadGate, RetryBudget, RowLimits } from '@shedline/admission';
 import type { QuotaHolder } from '@shedline/admission';
+import { CallDurations } from '@shedline/draining';
+import type { CallLimits, ObservedCall } from '@shedline/draining';
 import { ShedlineError } from '@shedline/errors';
 import type { EntryMetrics, RequestOutcome } from '@shedline/metrics';
 import { rowKey } from '@shedline/types';
@@ -17,6 +20,15 @@
   readonly nowMs: () => number;
 }
 
+/** Time after which callers retry at another entry what a stopping entry did not begin. */
+const STOPPING_RETRY_MS = 100;
+
+/** What admission depends on besides the row. */
+export interface AdmittedWork extends CallLimits {
+  /** Whether the request continues a session. */
+  readonly isOpenSession: boolean;
+}
+
 /** Admits or rejects online requests. */
 export class AdmissionController {
   readonly limits: RowLimits;
@@ -25,31 +37,67 @@
   private readonly nowMs: () => number;
   private readonly gates = new Map<string, OverloadGate>();
   private readonly budgets = new Map<string, RetryBudget>();
+  private readonly durations: CallDurations;
+  private closesAtMs = Infinity;
 
   constructor(options: AdmissionControllerOptions) {
     this.fleet = options.fleet;
     this.metrics = options.metrics;
     this.nowMs = options.nowMs;
     this.limits = new RowLimits(options.holder);
+    this.durations = new CallDurations(options);
   }
 
-  /** Runs `work` if it is admitted and counts its outcome; a rejection has `ran: no`. */
-  async run<T>(row: ServiceRow, isOpenSession: boolean, work: () => Promise<T>): Promise<T> {
+  /** From now on, rejects requests that are not expected to end by a time. */
+  closeAt(closesAtMs: number): void {
+    this.closesAtMs = closesAtMs;
+  }
+
+  /**
+   * Runs `work` if it is admitted, and observes its outcome and duration; a rejection has `ran: no`.
+   * `work` notes the first part of its response.
+   */
+  async run<T>(
+    row: ServiceRow,
+    { isOpenSession, ...limits }: AdmittedWork,
+    work: (call: ObservedCall) => Promise<T>,
+  ): Promise<T> {
     const service = rowKey(row.workspace, row.service);
     let outcome: RequestOutcome = 'refused';
     let release: (() => void) | undefined;
+    let call: ObservedCall | undefined;
+    let hasRun = true;
     try {
+      this.checkEndsInTime(service, limits);
       release = this.admit(row, isOpenSession, this.nowMs());
       outcome = 'failed';
-      const result = await work();
+      call = this.durations.begin(service, limits.maxOutput);
+      const result = await work(call);
       outcome = 'completed';
       return result;
+    } catch (error) {
+      hasRun = !(error instanceof ShedlineError && error.ran === 'no');
+      throw error;
     } finally {
       release?.();
+      call?.end(hasRun);
       this.metrics.recordRequestEnd(service, 'online', outcome);
     }
   }
 
+  private checkEndsInTime(service: string, limits: CallLimits): void {
+    const longestMs = this.durations.longestMs(service, limits);
+    if (this.nowMs() + longestMs <= this.closesAtMs) return;
+    throw new ShedlineError({
+      type: 'unavailable',
+      message: 'this entry stops before the request would have ended; use another address',
+      step: 'admit',
+      peer: service,
+      ran: 'no',
+      retryAfterMs: STOPPING_RETRY_MS,
+    });
+  }
+
   /** Admits a request and returns the function that releases it; throws a rejection. */
   private admit(row: ServiceRow, isOpenSession: boolean, nowMs: number): () => void {
     const key = rowKey(row.workspace, row.service);
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -158,8 +158,19 @@
     onToken: (text: string) => void,
   ): Promise<OnlineAnswer> {
     const { context } = this.options;
-    const run = new OnlineRun(context, { ...prepared.request, signal, onToken });
-    return context.admission.run(prepared.row, prepared.session !== undefined, () => run.run());
+    const { body, row, session, request } = prepared;
+    const work = {
+      isOpenSession: session !== undefined,
+      limitMs: request.deadlineMs,
+      maxOutput: body.max_completion_tokens ?? body.max_tokens ?? undefined,
+    };
+    return context.admission.run(row, work, (call) => {
+      const passOn = (text: string): void => {
+        call.firstPart();
+        onToken(text);
+      };
+      return new OnlineRun(context, { ...request, signal, onToken: passOn }).run();
+    });
   }
 
   private async respondWithStream(
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -177,8 +177,13 @@
     const batchDrained = this.batch.drain(this.entry.drainTimeoutMs);
     this.peers.handOverSessions();
     await this.reader.refresh();
-    if (this.hasOtherEntries()) await pause(this.entry.keepForMs + DRAIN_PROPAGATION_MS);
-    await this.waitUntilQuiet(this.nowMs() + this.entry.drainTimeoutMs);
+    const { keepForMs, drainTimeoutMs } = this.entry;
+    if (this.hasOtherEntries()) {
+      const withdrawalMs = keepForMs + DRAIN_PROPAGATION_MS;
+      this.admission.closeAt(this.nowMs() + withdrawalMs + drainTimeoutMs);
+      await pause(withdrawalMs);
+    }
+    await this.waitUntilQuiet(this.nowMs() + drainTimeoutMs);
     await batchDrained;
     this.logger.info('drained', { step: 'drain', cutCalls: this.openCalls.byKind });
     await this.kill();
--- a/packages/entry/src/service-calls.ts
+++ b/packages/entry/src/service-calls.ts
@@ -124,7 +124,8 @@
   }
 
   private admitAndSend(call: PreparedCall): Promise<AnsweredCall> {
-    return this.options.context.admission.run(call.row, false, () => this.send(call));
+    const work = { isOpenSession: false, limitMs: call.deadlineMs, maxOutput: undefined };
+    return this.options.context.admission.run(call.row, work, () => this.send(call));
   }
 
   private async send(call: PreparedCall): Promise<AnsweredCall> {
