--- a/packages/control/src/group-host.ts
+++ b/packages/control/src/group-host.ts
@@ -159,7 +159,7 @@
       snapshot = await this.options.storage.readSnapshot(this.group);
     }
     if (snapshot === undefined) throw this.notLeading('snapshot', this.consensus.leaderId);
-    return { snapshot, files: this.machine.fileSizes() };
+    return { snapshot, files: [...this.machine.fileSizes(), ...this.releasedFiles()] };
   }
 
   /** Installs a copied snapshot whose files are synced; returns false if it is outdated. */
@@ -185,8 +185,9 @@
     if (term !== undefined) {
       const position = { index, term, config: this.consensus.configAt(index) };
       const state = this.machine.snapshot();
+      const { released } = this.options.itemFiles;
       this.bytesSinceSnapshot = 0;
-      await this.saveSnapshot(position, state);
+      if (await this.saveSnapshot(position, state)) this.removeReleased(released);
     }
     this.isTakingSnapshot = false;
   }
@@ -197,18 +198,38 @@
     this.rejectAll('the instance is stopping');
   }
 
+  /** Stores a snapshot; returns false if that failed. */
   private async saveSnapshot(
     position: StoredSnapshot['position'],
     state: Uint8Array,
-  ): Promise<void> {
+  ): Promise<boolean> {
     try {
       await this.options.itemFiles.sync();
       await this.options.storage.saveSnapshot(this.group, position, state);
       this.snapshotIndex = position.index;
       this.consensus.compactTo(position.index - TRAILING_ENTRIES);
+      return true;
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       this.options.logger.error('snapshot failed', { group: this.group, step: 'snapshot', reason });
+      return false;
+    }
+  }
+
+  /** Files that the latest stored snapshot may refer to, though the state no longer does. */
+  private releasedFiles(): StateFile[] {
+    const { itemFiles } = this.options;
+    return itemFiles.released.map((file) => ({ file, sizeBytes: itemFiles.sizeBytes(file) }));
+  }
+
+  private removeReleased(files: readonly string[]): void {
+    try {
+      this.options.itemFiles.removeReleased(files);
+    } catch (error) {
+      // They stay released, so that the next snapshot removes them.
+      const reason = error instanceof Error ? error.message : String(error);
+      const fields = { group: this.group, step: 'snapshot', reason };
+      this.options.logger.error('released files not removed', fields);
     }
   }
 
--- a/packages/jobs/src/call-claims.ts
+++ b/packages/jobs/src/call-claims.ts
@@ -91,7 +91,7 @@
       if (claim.file !== '') releasedFiles.add(claim.file);
     }
     for (const file of releasedFiles) {
-      if (!filesInUse.has(file)) this.files.remove(file);
+      if (!filesInUse.has(file)) this.files.release(file);
     }
   }
 
--- a/packages/jobs/src/jobs.ts
+++ b/packages/jobs/src/jobs.ts
@@ -465,7 +465,7 @@
       const isFinal = job.state === 'completed' || job.state === 'cancelled';
       if (isFinal && job.finishedAtMs + command.jobRetentionMs < this.clockMs) {
         this.jobs.delete(jobId);
-        for (const { file } of job.fileSizes()) this.files.remove(file);
+        for (const { file } of job.fileSizes()) this.files.release(file);
       }
     }
     this.calls.removeBefore(this.clockMs - command.callRetentionMs);
--- a/packages/storage/src/item-files.ts
+++ b/packages/storage/src/item-files.ts
@@ -4,6 +4,9 @@
  * Every replica of a group applies the same log, so the files of all replicas hold the same
  * bytes at the same offsets. Only the state machine knows the valid length of a file: bytes after
  * it were written before a crash and are overwritten.
+ *
+ * A file that the state no longer refers to is kept until a snapshot without it is stored: after a
+ * restart, the log since the latest snapshot is applied again, and its commands may read the file.
  */
 import {
   closeSync,
@@ -38,7 +41,12 @@
   writeRaw(file: string, offset: number, bytes: Uint8Array): void;
   /** Resolves once everything written so far is on disk. */
   sync(): Promise<void>;
-  remove(file: string): void;
+  /** Notes that the state no longer refers to a file; a later write takes that back. */
+  release(file: string): void;
+  /** Released files that still exist. */
+  readonly released: readonly string[];
+  /** Removes those of these files that are still released. */
+  removeReleased(files: readonly string[]): void;
 }
 
 /** Returns the size of a record in its file, including header and padding. */
@@ -61,6 +69,7 @@
   private readonly folder: string;
   private readonly openDescriptors = new Map<string, number>();
   private readonly dirtyFiles = new Set<string>();
+  private readonly releasedFiles = new Set<string>();
 
   constructor(folder: string) {
     this.folder = folder;
@@ -101,6 +110,7 @@
       written += writeSync(descriptor, bytes, written, bytes.length - written, offset + written);
     }
     this.dirtyFiles.add(file);
+    this.releasedFiles.delete(file);
   }
 
   async sync(): Promise<void> {
@@ -111,10 +121,22 @@
     }
   }
 
-  remove(file: string): void {
-    this.close(file);
-    this.dirtyFiles.delete(file);
-    rmSync(join(this.folder, file), { force: true });
+  release(file: string): void {
+    this.releasedFiles.add(file);
+  }
+
+  get released(): readonly string[] {
+    return [...this.releasedFiles];
+  }
+
+  removeReleased(files: readonly string[]): void {
+    for (const file of files) {
+      if (!this.releasedFiles.has(file)) continue;
+      this.close(file);
+      this.dirtyFiles.delete(file);
+      rmSync(join(this.folder, file), { force: true });
+      this.releasedFiles.delete(file);
+    }
   }
 
   /** Closes all files. */
@@ -169,6 +191,7 @@
 /** {@link ItemFiles} in memory, for tests and benchmarks. */
 export class MemoryItemFiles implements ItemFiles {
   private readonly files = new Map<string, { bytes: Buffer; sizeBytes: number }>();
+  private readonly releasedFiles = new Set<string>();
 
   writeRecord(file: string, offset: number, body: Uint8Array): number {
     const record = encodeRecord(body);
@@ -205,14 +228,23 @@
     }
     content.bytes.set(bytes, offset);
     content.sizeBytes = Math.max(content.sizeBytes, endOffset);
+    this.releasedFiles.delete(file);
   }
 
   async sync(): Promise<void> {
     await Promise.resolve();
   }
 
-  remove(file: string): void {
-    this.files.delete(file);
+  release(file: string): void {
+    this.releasedFiles.add(file);
+  }
+
+  get released(): readonly string[] {
+    return [...this.releasedFiles];
+  }
+
+  removeReleased(files: readonly string[]): void {
+    for (const file of files) if (this.releasedFiles.delete(file)) this.files.delete(file);
   }
 }
 
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -310,10 +310,10 @@
     ].filter(({ sizeBytes }) => sizeBytes > 0);
   }
 
-  /** Removes its files. */
-  removeFiles(): void {
-    this.files.remove(this.bodyFile);
-    this.files.remove(this.resultFile);
+  /** Releases its files, as the job is removed. */
+  releaseFiles(): void {
+    this.files.release(this.bodyFile);
+    this.files.release(this.resultFile);
   }
 
   /** Returns the serialized form for a snapshot. */
--- a/packages/whole-jobs/src/whole-jobs.ts
+++ b/packages/whole-jobs/src/whole-jobs.ts
@@ -165,7 +165,7 @@
       const ageMs = this.clockMs - job.identity.submittedAtMs;
       if (job.isOpen && ageMs >= job.identity.keepItemsMs) this.giveUpItems(jobId);
       if (!job.isOpen && ageMs >= retentionMs) {
-        job.removeFiles();
+        job.releaseFiles();
         this.jobs.delete(jobId);
       }
     }
