Stop a member that cannot apply a command, until its state is rebuilt

Cause: every error of an apply but our own type was taken for a command that is not valid, which all replicas answer alike. Jobs write their files while they are applied, so a failed write of one machine was taken for it, and the member went on without the effect, with its vote and its turn to lead. The same for each system call of an apply, at followers and leaders.

Change: a failed system call stops the member. Replies tell the leader, so that no planned stop hands over to it; a leader that stops hands over at once. Results are listed after they have been written.

Not in this commit: replicas do not compare their states; no disk faults in the schedules of whole jobs and the soak.

--- a/packages/consensus/src/consensus.test.ts
+++ b/packages/consensus/src/consensus.test.ts
@@ -30,7 +30,14 @@
   'snapshot',
 ] as const;
 
-type StepKind = (typeof STEPS)[number] | 'suspend';
+type StepKind = (typeof STEPS)[number] | 'suspend' | 'stopApplying' | 'applyAgain';
+
+const STEPS_WITH_FAILURES: readonly StepKind[] = [
+  ...STEPS,
+  'stopApplying',
+  'stopApplying',
+  'applyAgain',
+];
 
 interface Step {
   readonly kind: StepKind;
@@ -85,7 +92,7 @@
     }
     if (kind === 'crash') stopped.add(name);
     if (kind === 'restart') stopped.delete(name);
-    if (kind === 'isolate' || kind === 'blockLink') isolated.add(name);
+    if (kind === 'isolate' || kind === 'blockLink' || kind === 'stopApplying') isolated.add(name);
     if (kind === 'unblockLinks') isolated.clear();
     isWithinTolerance &&= new Set([...wiped, ...stopped, ...isolated]).size <= tolerated;
     if (kind === 'propose') group.propose(instanceName(group.leader()?.memberId) ?? name);
@@ -99,6 +106,8 @@
     if (kind === 'repair') group.repair();
     if (kind === 'snapshot') group.snapshot(name);
     if (kind === 'suspend') group.suspend(thenMs);
+    if (kind === 'stopApplying') group.setAbleToApply(name, false);
+    if (kind === 'applyAgain') group.setAbleToApply(name, true);
     group.run(thenMs);
   }
   return isWithinTolerance;
@@ -118,9 +127,9 @@
 }
 
 /** Whether the search finds a schedule that violates a property under the given rules. */
-function findsViolation(rules: GroupRules): boolean {
+function findsViolation(rules: GroupRules, steps: readonly StepKind[] = STEPS): boolean {
   const property = fc.property(
-    scheduleArbitrary,
+    schedulesOf(steps),
     (plan) => runAndSettle(rules, plan).violations.length === 0,
   );
   return fc.check(property, { seed: SEED, numRuns: MAX_SEARCH_SCHEDULES, endOnFailure: true })
@@ -140,6 +149,13 @@
   }
 }
 
+/** Leads whether it can apply commands or not. */
+class HeedlessLeader extends Consensus {
+  override setAbleToLead(): void {
+    // Ignored.
+  }
+}
+
 /**
  * Partitions a follower for 10 s. Returns how far the highest term rose during the partition, and
  * whether the leader is still the same after it.
@@ -236,6 +252,57 @@
     t.false(run.failed, fc.defaultReportMessage(run));
   });
 
+  // Guards against a leader whose state lacks the effect of a command.
+  test(title('keeps its properties if members cannot apply commands'), (t) => {
+    const schedules = schedulesOf(STEPS_WITH_FAILURES);
+    const keepsProperties = (plan: Schedule): boolean =>
+      runAndSettle(DEFAULT_RULES, plan).violations.length === 0;
+    const run = fc.check(fc.property(schedules, keepsProperties), {
+      seed: SEED,
+      numRuns: Math.ceil(SCHEDULES / 5),
+    });
+    t.false(run.failed, fc.defaultReportMessage(run));
+  });
+
+  test(title('a leader that cannot apply commands hands over to a member that can'), (t) => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const group = new FakeGroup({ random: seededRandom(seed), voters: 3, lossRate: 0 });
+      group.run(1500);
+      const first = instanceName(group.leader()?.memberId) ?? '';
+      const [second = '', third = ''] = group.names.filter((name) => name !== first);
+      group.setAbleToApply(second, false);
+      group.run(200);
+      group.setAbleToApply(first, false);
+      group.run(1500);
+      t.is(instanceName(group.leader()?.memberId), third, `seed ${seed}`);
+      group.transfer();
+      group.run(1500);
+      t.is(instanceName(group.leader()?.memberId), third, `seed ${seed}`);
+      group.setAbleToApply(first, true);
+      group.run(200);
+      group.transfer();
+      group.run(1500);
+      t.is(instanceName(group.leader()?.memberId), first, `seed ${seed}`);
+      t.deepEqual(group.violations, [], `seed ${seed}`);
+    }
+  });
+
+  // Guards against a state that is rebuilt without the entries that a newer snapshot covers.
+  test(title('does not return committed entries without the first of them'), (t) => {
+    const group = new FakeGroup({ random: seededRandom(1), voters: 1, lossRate: 0 });
+    group.run(400);
+    for (let n = 0; n < 10; n += 1) {
+      group.propose('a');
+      group.run(100);
+    }
+    const leader = group.leader();
+    const last = leader?.core.commitIndex ?? 0;
+    t.is(leader?.core.committedEntriesAfter(0).length, last);
+    group.snapshot('a');
+    t.throws(() => leader?.core.committedEntriesAfter(0), { message: /the log begins after/ });
+    t.is(leader?.core.committedEntriesAfter(last - 1).length, 1);
+  });
+
   test(title('a long-isolated member neither raises the term nor displaces the leader'), (t) => {
     for (let seed = 1; seed <= 30; seed += 1) {
       t.deepEqual(isolateMember(DEFAULT_RULES, seed), { gainedTerms: 0, isLeaderKept: true });
@@ -283,6 +350,13 @@
       t.is(acknowledgedWithUnreachableLearner({ ...DEFAULT_RULES, createCore }), 0);
     });
 
+    test(title('a member that leads though it cannot apply commands violates a property'), (t) => {
+      const createCore = (options: ConstructorParameters<typeof Consensus>[0]): Consensus =>
+        new HeedlessLeader(options);
+      const rules = { ...DEFAULT_RULES, createCore };
+      t.true(findsViolation(rules, STEPS_WITH_FAILURES));
+    });
+
     test(title('without pre-vote an isolated member raises the term'), (t) => {
       const createCore = (options: ConstructorParameters<typeof Consensus>[0]): Consensus =>
         new NoPreVote(options);
--- a/packages/consensus/src/consensus.ts
+++ b/packages/consensus/src/consensus.ts
@@ -116,6 +116,7 @@
   private votes = new Map<string, boolean>();
   private readonly followers: Followers;
   private round = 0;
+  private isAbleToLead = true;
   private isHeartbeatDue = false;
   private readonly pendingReads = new PendingReads();
   private readonly transfer = new LeadershipTransfer();
@@ -200,6 +201,34 @@
     return this.log.termAt(index);
   }
 
+  /**
+   * Returns the committed entries after an index that were handed to the driver before; throws if the
+   * first of them have been compacted.
+   */
+  committedEntriesAfter(index: number): LogEntry[] {
+    const { baseIndex } = this.log;
+    if (index < baseIndex) throw new Error(`the log begins after entry ${baseIndex}, not ${index}`);
+    return this.log.slice(index + 1, this.handedOutIndex);
+  }
+
+  /**
+   * Whether this member may lead; while not, it votes and stores entries, but starts no election. A
+   * leader hands over to the voter with the most entries, and steps down.
+   */
+  setAbleToLead(isAble: boolean): void {
+    this.isAbleToLead = isAble;
+    if (isAble) {
+      this.resetElectionDeadline();
+      return;
+    }
+    if (this.currentRole !== 'leader') return;
+    const to = this.bestTransferTarget();
+    if (to !== undefined) {
+      this.messages.push({ type: 'timeoutNow', from: this.memberId, to, term: this.term });
+    }
+    this.becomeFollower(this.term, '');
+  }
+
   /**
    * Returns the replication progress of each other member. Empty unless this member is or was the
    * leader.
@@ -240,7 +269,7 @@
       this.tickLeader();
       return;
     }
-    if (nowMs >= this.electionDeadlineMs && this.isVoter(this.memberId)) this.startPreVote();
+    if (nowMs >= this.electionDeadlineMs && this.mayCampaign()) this.startPreVote();
   }
 
   /**
@@ -249,7 +278,7 @@
    */
   get nextTickMs(): number {
     if (this.currentRole !== 'leader') {
-      return this.isVoter(this.memberId) ? this.electionDeadlineMs : Infinity;
+      return this.mayCampaign() ? this.electionDeadlineMs : Infinity;
     }
     const heartbeatMs = this.heartbeats.dueMs(this.leaderState());
     return Math.min(heartbeatMs, this.quorumCheck.dueMs, this.transfer.deadlineMs);
@@ -522,8 +551,12 @@
     if (this.countVotes() >= this.quorumSize()) this.campaign(false);
   }
 
+  private mayCampaign(): boolean {
+    return this.isAbleToLead && this.isVoter(this.memberId);
+  }
+
   private campaign(transfer: boolean): void {
-    if (!this.isVoter(this.memberId)) return;
+    if (!this.mayCampaign()) return;
     this.currentRole = 'candidate';
     this.currentLeader = '';
     this.term += 1;
@@ -553,6 +586,8 @@
   }
 
   private becomeLeader(): void {
+    // It may have become unable to lead since it started the election.
+    if (!this.isAbleToLead) return;
     this.currentRole = 'leader';
     this.currentLeader = this.memberId;
     this.startTimeoutMs = this.electionTimeoutMs;
@@ -767,11 +802,12 @@
       term: this.term,
       success,
       matchIndex,
+      ...this.leadAbility(),
     });
   }
 
   private onAppendReply(message: AppendReply): void {
-    const progress = this.recordContact(message.from);
+    const progress = this.recordContact(message);
     if (progress === undefined) return;
     if (!message.success) {
       progress.recordRejection(message.matchIndex);
@@ -783,10 +819,14 @@
     this.finishTransfer();
   }
 
-  private recordContact(memberId: string): Progress | undefined {
+  private recordContact({
+    from,
+    cannotLead = false,
+  }: AppendReply | HeartbeatReply): Progress | undefined {
     if (this.currentRole !== 'leader') return undefined;
-    const progress = this.followers.get(memberId);
+    const progress = this.followers.get(from);
     if (progress === undefined) return undefined;
+    progress.isAbleToLead = !cannotLead;
     progress.lastContactMs = this.nowMs;
     progress.lastReplyMs = this.nowMs;
     return progress;
@@ -804,11 +844,16 @@
       to: message.from,
       term: this.term,
       round: message.round,
+      ...this.leadAbility(),
     });
   }
 
+  private leadAbility(): { readonly cannotLead?: true } {
+    return this.isAbleToLead ? {} : { cannotLead: true };
+  }
+
   private onHeartbeatReply(message: HeartbeatReply): void {
-    const progress = this.recordContact(message.from);
+    const progress = this.recordContact(message);
     if (progress === undefined) return;
     progress.ackedRound = Math.max(progress.ackedRound, message.round);
     progress.allowProbe();
@@ -823,9 +868,12 @@
     this.replicateTo(memberId);
   }
 
-  /** Returns the other voters that sent a message within the election timeout. */
+  /** Returns the other voters that may lead and sent a message within the election timeout. */
   private transferCandidates(): string[] {
-    return this.otherVoters().filter((memberId) => this.hasRecentContact(memberId));
+    return this.otherVoters().filter(
+      (memberId) =>
+        this.hasRecentContact(memberId) && this.followers.get(memberId)?.isAbleToLead !== false,
+    );
   }
 
   private bestTransferTarget(): string | undefined {
--- a/packages/consensus/src/fake-group.ts
+++ b/packages/consensus/src/fake-group.ts
@@ -36,6 +36,8 @@
   core: Consensus;
   disk: Disk;
   isUp: boolean;
+  /** Whether it can apply commands; a member that cannot must not lead. */
+  canApply: boolean;
   /** Rate of the member's clock relative to simulated time. */
   clockRate: number;
   syncing: { ready: Ready; finishedAtMs: number } | undefined;
@@ -222,6 +224,14 @@
     this.blockedLinks.clear();
   }
 
+  /** Makes a member able or unable to apply commands; unable until its restart at the latest. */
+  setAbleToApply(name: string, canApply: boolean): void {
+    const member = this.members.get(name);
+    if (member?.isUp !== true) return;
+    member.canApply = canApply;
+    member.core.setAbleToLead(canApply);
+  }
+
   /** Starts a leadership transfer. */
   transfer(): void {
     const leader = this.leader();
@@ -273,7 +283,10 @@
   /** Restarts and reconnects all instances and checks that no acknowledged entry was lost. */
   settle(options: { readonly isLeaderExpected: boolean }): void {
     this.unblockLinks();
-    for (const name of this.names) this.restart(name);
+    for (const name of this.names) {
+      this.restart(name);
+      this.setAbleToApply(name, true);
+    }
     for (let round = 0; round < 60; round += 1) {
       this.run(100);
       this.repair();
@@ -308,6 +321,7 @@
       core: this.createCore(memberId, disk, 0),
       disk,
       isUp: true,
+      canApply: true,
       clockRate,
       syncing: undefined,
       applied: 0,
@@ -335,6 +349,7 @@
   private startCore(member: Member): void {
     member.core = this.createCore(member.memberId, member.disk, this.clockOf(member));
     member.isUp = true;
+    member.canApply = true;
     member.applied = member.disk.snapshot.index;
     member.reads.clear();
     member.proposals.clear();
@@ -446,6 +461,9 @@
 
   private checkLeader(member: Member): void {
     if (member.core.role !== 'leader') return;
+    if (!member.canApply) {
+      this.violations.push(`${member.memberId} leads though it cannot apply commands`);
+    }
     const term = member.core.currentTerm;
     const known = this.leaders.get(term);
     if (known === undefined) {
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -82,6 +82,8 @@
   readonly success: boolean;
   /** Highest matching index; after a rejection, a hint where the logs may match. */
   readonly matchIndex: number;
+  /** Set while the member cannot apply commands; omitted by earlier versions. */
+  readonly cannotLead?: boolean;
 }
 
 /** Confirms the leader to its followers and carries the commit index. */
@@ -96,6 +98,8 @@
 export interface HeartbeatReply extends Envelope {
   readonly type: 'heartbeatReply';
   readonly round: number;
+  /** Set while the member cannot apply commands; omitted by earlier versions. */
+  readonly cannotLead?: boolean;
 }
 
 /** Asks the target of a leadership transfer to start an election immediately. */
--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -23,6 +23,8 @@
   lastReplyMs = -Infinity;
   /** Highest heartbeat round that the member has replied to. */
   ackedRound = 0;
+  /** Whether the member may lead, as of its latest reply. */
+  isAbleToLead = true;
   private inFlightLastIndexes: number[] = [];
   private isProbeInFlight = false;
   private stallCheckMatch = -1;
--- a/packages/control/src/group-host.ts
+++ b/packages/control/src/group-host.ts
@@ -15,6 +15,7 @@
 import type { Logger } from '@shedline/logger';
 import type { ItemFiles, Storage, StoredSnapshot } from '@shedline/storage';
 import type { GroupStateMachine, StateFile } from './state-machine.js';
+import { StateRebuild, isLocalFailure } from './state-rebuild.js';
 
 /** Entries before a snapshot that stay in memory for followers that lag slightly. */
 const TRAILING_ENTRIES = 1000;
@@ -72,6 +73,9 @@
   private readonly proposals = new Map<number, PendingProposal>();
   private readonly reads = new Map<number, PendingRead>();
   private readsAwaitingApply: { readonly index: number; readonly readId: number }[] = [];
+  private readonly rebuild: StateRebuild;
+  /** State without any command, from which a group without a snapshot is rebuilt. */
+  private readonly initialState: Uint8Array | undefined;
 
   constructor(options: GroupHostOptions) {
     this.options = options;
@@ -80,6 +84,17 @@
     this.machine = options.machine;
     this.applied = options.appliedIndex;
     this.snapshotIndex = options.appliedIndex;
+    this.initialState = options.appliedIndex === 0 ? this.machine.snapshot() : undefined;
+    this.rebuild = new StateRebuild({
+      ...options,
+      rebuild: (snapshot) => {
+        this.rebuildFrom(snapshot);
+      },
+      onRebuilt: () => {
+        this.consensus.setAbleToLead(true);
+        this.pump();
+      },
+    });
   }
 
   /** Index of the last entry that the state machine has applied. */
@@ -92,6 +107,11 @@
     return this.isReportedLeader;
   }
 
+  /** Whether this member serves nothing, because it could not apply a command. */
+  get isStopped(): boolean {
+    return this.rebuild.isNeeded;
+  }
+
   /** Advances the time of the consensus member. */
   tick(nowMs: number): void {
     this.consensus.tick(nowMs);
@@ -152,6 +172,7 @@
 
   /** Returns what a lagging member has to copy; takes a snapshot if there is no recent snapshot. */
   async manifest(): Promise<SnapshotManifest> {
+    if (this.rebuild.isNeeded) throw this.notLeading('snapshot', this.consensus.leaderId);
     let snapshot = await this.options.storage.readSnapshot(this.group);
     const isUsable = snapshot !== undefined && snapshot.position.index >= this.firstRetainedIndex();
     if (!isUsable) {
@@ -172,13 +193,16 @@
     this.machine.restore(state);
     this.applied = position.index;
     this.snapshotIndex = position.index;
+    this.rebuild.end();
+    this.consensus.setAbleToLead(true);
     this.pump();
     return true;
   }
 
   /** Stores a snapshot of the state, so that older log entries can be removed. */
   async takeSnapshot(): Promise<void> {
-    if (this.isTakingSnapshot || this.applied <= this.snapshotIndex) return;
+    if (this.isTakingSnapshot || this.rebuild.isNeeded) return;
+    if (this.applied <= this.snapshotIndex) return;
     this.isTakingSnapshot = true;
     const index = this.applied;
     const term = this.consensus.termAt(index);
@@ -195,6 +219,7 @@
   /** Stops the member; rejects pending proposals and reads. */
   close(): void {
     this.isClosed = true;
+    this.rebuild.close();
     this.rejectAll('the instance is stopping');
   }
 
@@ -279,17 +304,44 @@
     this.options.onRoleChange(this, isLeader);
   }
 
+  /** Applies entries until one fails for a reason of this machine. */
   private applyAll(entries: readonly LogEntry[]): void {
-    for (const entry of entries) this.applyEntry(entry);
+    for (const entry of entries) {
+      // The rebuild applies the rest.
+      if (this.rebuild.isNeeded) return;
+      try {
+        this.applyEntry(entry);
+      } catch (error) {
+        if (!isLocalFailure(error)) throw error;
+        this.stopAt(entry.index, error);
+      }
+    }
     const readyReads = this.readsAwaitingApply.filter((read) => read.index <= this.applied);
     this.readsAwaitingApply = this.readsAwaitingApply.filter((read) => read.index > this.applied);
     for (const read of readyReads) this.resolveRead(read.readId);
   }
 
+  /** Serves nothing and hands over the leadership until the state is complete again. */
+  private stopAt(index: number, failure: Error): void {
+    this.rebuild.start(index, failure);
+    this.consensus.setAbleToLead(false);
+    this.updateRole();
+  }
+
+  private rebuildFrom(snapshot: StoredSnapshot | undefined): void {
+    const state = snapshot?.state ?? this.initialState;
+    const index = snapshot?.position.index ?? 0;
+    if (state === undefined) throw new Error('no state to rebuild from');
+    this.machine.restore(state);
+    this.applied = index;
+    this.bytesSinceSnapshot = 0;
+    for (const entry of this.consensus.committedEntriesAfter(index)) this.applyEntry(entry);
+  }
+
   private applyEntry(entry: LogEntry): void {
+    const result = entry.kind === 'command' ? this.applyCommand(entry) : undefined;
     this.applied = entry.index;
     this.bytesSinceSnapshot += entry.data.length;
-    const result = entry.kind === 'command' ? this.applyCommand(entry) : undefined;
     const pending = this.proposals.get(entry.index);
     if (pending === undefined) return;
     this.proposals.delete(entry.index);
@@ -301,8 +353,8 @@
     try {
       return this.machine.apply(unpack(entry.data), entry.index);
     } catch (error) {
-      // Damaged storage affects only this replica: continuing would let it diverge.
-      if (error instanceof ShedlineError) throw error;
+      // Damaged storage and a failed call affect only this replica: continuing would let it diverge.
+      if (error instanceof ShedlineError || isLocalFailure(error)) throw error;
       const message = error instanceof Error ? error.message : String(error);
       this.options.logger.error('command failed', { group: this.group, step: 'apply', message });
       return { ok: false, reason: 'invalid', message };
@@ -311,6 +363,7 @@
 
   private completeReads(ready: Ready): void {
     for (const read of ready.reads) {
+      if (this.rebuild.isNeeded) continue;
       if (read.index <= this.applied) this.resolveRead(read.readId);
       else this.readsAwaitingApply.push(read);
     }
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -241,6 +241,11 @@
     return [...this.hosts.values()].filter((host) => host.isLeader);
   }
 
+  /** Returns the groups that serve nothing here, because a command could not be applied. */
+  stoppedGroups(): GroupHost[] {
+    return [...this.hosts.values()].filter((host) => host.isStopped);
+  }
+
   /** Returns the item files of a group; creates their folder if needed. */
   filesOf(group: number): DiskItemFiles {
     const known = this.itemFiles.get(group);
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -229,8 +229,10 @@
   finish(index: number, state: FinalItemState, text: string): boolean {
     if (!this.mayRun(index)) return false;
     const result: JobResult = { itemId: this.item(index).itemId, state, text };
-    this.resultEntries.push([index, this.resultBytes / RECORD_ALIGNMENT_BYTES]);
+    const unit = this.resultBytes / RECORD_ALIGNMENT_BYTES;
+    // The result is listed once it is written: a failed write must leave none that cannot be read.
     this.resultBytes = this.files.writeRecord(this.resultFile, this.resultBytes, pack(result));
+    this.resultEntries.push([index, unit]);
     this.hasResult[index] = 1;
     this.unfinishedTokens -= this.itemTokens[index] ?? 0;
     this.failedRuns.delete(index);
