--- a/packages/whole-jobs/src/whole-jobs.test.ts
+++ b/packages/whole-jobs/src/whole-jobs.test.ts
@@ -99,7 +99,29 @@
   return (page?.results ?? []).map(({ itemId, state, text }) => `${itemId} ${state} ${text}`);
 }
 
+/** Files of a disk that is full while `isFull`. */
+class FullDisk extends MemoryItemFiles {
+  isFull = false;
+
+  override writeRecord(file: string, offset: number, body: Uint8Array): number {
+    if (this.isFull) throw new Error('ENOSPC: no space left on device, write');
+    return super.writeRecord(file, offset, body);
+  }
+}
+
 describe('whole jobs', () => {
+  // Guards against a read that was confirmed before its member stopped, and fails at such a result.
+  test(title('list no result that could not be written'), (t) => {
+    const files = new FullDisk();
+    const jobs = new WholeJobs(files);
+    jobs.apply(submit('a', 0), 1);
+    files.isFull = true;
+    const finished = [{ jobId: 'a', index: 0, state: 'complete' as const, text: 'done' }];
+    const run = { type: 'commitRuns', atMs: 0, holder: 'h', failed: [], returned: [] } as const;
+    t.throws(() => jobs.apply({ ...run, finished }, 2), { message: /ENOSPC/ });
+    t.deepEqual(resultLines(jobs, 'a'), []);
+  });
+
   test(
     title(
       'a stored result never changes, an item has at most one result, and the quota is never exceeded',
