One constant for the retry delay at a stop; name a member that rebuilds its state

No change of logic: the delay of 100 ms stood in four places. GroupHost.isRebuilding, the metric shedline_rebuilding_groups: "stopped" names a process elsewhere.

--- a/packages/control/src/group-host.ts
+++ b/packages/control/src/group-host.ts
@@ -108,7 +108,7 @@
   }
 
   /** Whether this member serves nothing, because it could not apply a command. */
-  get isStopped(): boolean {
+  get isRebuilding(): boolean {
     return this.rebuild.isNeeded;
   }
 
--- a/packages/control/src/group-node.ts
+++ b/packages/control/src/group-node.ts
@@ -242,8 +242,8 @@
   }
 
   /** Returns the groups that serve nothing here, because a command could not be applied. */
-  stoppedGroups(): GroupHost[] {
-    return [...this.hosts.values()].filter((host) => host.isStopped);
+  rebuildingGroups(): GroupHost[] {
+    return [...this.hosts.values()].filter((host) => host.isRebuilding);
   }
 
   /** Returns the item files of a group; creates their folder if needed. */
--- a/packages/entry/src/admission-controller.ts
+++ b/packages/entry/src/admission-controller.ts
@@ -4,7 +4,7 @@
  */
 import { OverloadGate, RetryBudget, RowLimits } from '@shedline/admission';
 import type { QuotaHolder } from '@shedline/admission';
-import { CallDurations } from '@shedline/draining';
+import { CallDurations, STOPPING_RETRY_MS } from '@shedline/draining';
 import type { CallLimits, ObservedCall } from '@shedline/draining';
 import { ShedlineError } from '@shedline/errors';
 import type { EntryMetrics, RequestOutcome } from '@shedline/metrics';
@@ -20,9 +20,6 @@
   readonly nowMs: () => number;
 }
 
-/** Time after which callers retry at another entry what a stopping entry did not begin. */
-const STOPPING_RETRY_MS = 100;
-
 /** What admission depends on besides the row. */
 export interface AdmittedWork extends CallLimits {
   /** Whether the request continues a session. */
--- a/packages/fleet-control/src/job-group.test.ts
+++ b/packages/fleet-control/src/job-group.test.ts
@@ -268,7 +268,7 @@
         const committed = (async () => {
           for (const command of COMMANDS) await commit(host, command);
         })();
-        while (!host.isStopped) await pause(POLL_MS);
+        while (!host.isRebuilding) await pause(POLL_MS);
         t.false(host.isLeader);
         await t.throwsAsync(host.confirmLeadership(), { instanceOf: ShedlineError });
         await t.throwsAsync(host.manifest(), { instanceOf: ShedlineError });
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -241,7 +241,7 @@
 
   private addGauges(): void {
     this.metrics.gauge('shedline_groups_led', () => this.groups.ledGroups().length);
-    this.metrics.gauge('shedline_stopped_groups', () => this.groups.stoppedGroups().length);
+    this.metrics.gauge('shedline_rebuilding_groups', () => this.groups.rebuildingGroups().length);
     this.metrics.gauge('shedline_syncs', () => this.groups.syncCount);
     this.metrics.gauge('shedline_disk_refuses_writes', () =>
       this.groups.diskFailure === '' ? 0 : 1,
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -2,6 +2,7 @@
  * Executes the plan of one request: waits for an endpoint, sends the request and forwards the
  * response.
  */
+import { STOPPING_RETRY_MS } from '@shedline/draining';
 import type { EndpointQueue, ChosenEndpoint, QueueTicket } from './endpoint-queue.js';
 import type { RunningSend, SendResult, SilenceRule } from './endpoint-sender.js';
 import { ContinuationGate } from './continuation-gate.js';
@@ -27,9 +28,6 @@
  */
 const MIN_CALLER_TIMEOUT_MS = 2000;
 
-/** Time after which callers retry at another entry what a stopping process did not begin. */
-const STOPPING_RETRY_MS = 100;
-
 /** Number of times that a request is admitted again because its endpoint may not run it. */
 const MAX_READMISSIONS = 3;
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,7 +3,7 @@
  * and forwards. Requests without a route are refused, as are those that could not end before this process stops.
  */
 import { CallerTimeLimits } from '@shedline/admission';
-import { CallDurations } from '@shedline/draining';
+import { CallDurations, STOPPING_RETRY_MS } from '@shedline/draining';
 import type { CallLimits, ObservedCall } from '@shedline/draining';
 import { chooseService } from '@shedline/fleet';
 import type { KnownFleet, Route, RouteTable, Workspace } from '@shedline/fleet';
@@ -17,8 +17,6 @@
 
 /** Retry delay for callers refused before the routes are known; they should try another entry. */
 const NOT_READY_RETRY_MS = 300;
-/** Retry delay for callers refused during shutdown; they should try another entry. */
-const STOPPING_RETRY_MS = 100;
 
 /** Retry delay for callers whose stream began at an unknown software version; another entry may know. */
 const UNKNOWN_ORIGIN_RETRY_MS = 100;
