--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -4,6 +4,7 @@
 import { instanceOf } from '@shedline/consensus';
 import type { GroupHost } from '@shedline/control';
 import type { ShedlineError } from '@shedline/errors';
+import type { ProcessMetrics } from '@shedline/metrics';
 import { ItemDispenser } from '@shedline/whole-jobs';
 import type { CommitRuns, ItemRef, ItemRequest } from '@shedline/whole-jobs';
 import type { WholeJobStateMachine } from './group-state-machines.js';
@@ -21,6 +22,7 @@
 
 /** Options of {@link JobRequests}. */
 export interface JobRequestsOptions {
+  readonly metrics: ProcessMetrics;
   /** Creates the error of a request that this process cannot serve. */
   readonly unavailable: (step: string, message: string, leader: string) => ShedlineError;
   readonly nowMs: () => number;
@@ -47,6 +49,11 @@
     this.dispenserOf(group).sweep(stateMachine.jobs, this.options.nowMs());
   }
 
+  /** Number of items of a group that are leased to entries. */
+  leasedItems(group: number): number {
+    return this.dispenserOf(group).leasedCount(this.options.nowMs());
+  }
+
   /** Handles committed execution attempts: releases their items and resumes readers. */
   runsCommitted(group: number, run: CommitRuns): void {
     const { holder, finished, failed, returned, crashed = [] } = run;
@@ -131,6 +138,7 @@
     request: ItemRequest,
   ): GrantAnswer {
     this.requireLeading(host, 'grantItems');
+    this.options.metrics.count('shedline_item_requests_total', { route: request.routeKey });
     const { jobs } = stateMachine;
     const dispenser = this.dispenserOf(host.group);
     const time = { nowMs: this.options.nowMs(), wallMs: Date.now() };
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -81,6 +81,7 @@
     this.stores = this.core.createPeerConnections({ silenceDetection: 'fast' });
     this.requests = new JobRequests({
       nowMs: this.nowMs,
+      metrics: this.metrics,
       unavailable: (step, message, leader) => this.core.unavailable(step, message, leader),
     });
     this.random = options.random ?? Math.random;
@@ -239,12 +240,30 @@
     }
   }
 
+  /** Sums a number of items over the groups that this store leads. */
+  private ledItems(count: (host: GroupHost) => number): number {
+    const led = [...this.groups.hosts.values()].filter(({ isLeader }) => isLeader);
+    return led.reduce((sum, host) => sum + count(host), 0);
+  }
+
   private addGauges(): void {
     this.metrics.gauge('shedline_groups_led', () => this.groups.ledGroups().length);
     this.metrics.gauge('shedline_rebuilding_groups', () => this.groups.rebuildingGroups().length);
+    this.metrics.gauge('shedline_unfinished_items', () => this.ledItems(unfinishedItems));
+    this.metrics.gauge('shedline_leased_items', () =>
+      this.ledItems((host) => this.requests.leasedItems(host.group)),
+    );
     this.metrics.gauge('shedline_syncs', () => this.groups.syncCount);
     this.metrics.gauge('shedline_disk_refuses_writes', () =>
       this.groups.diskFailure === '' ? 0 : 1,
     );
   }
 }
+
+/** Number of items of a group that are owed a result. */
+function unfinishedItems({ machine }: GroupHost): number {
+  if (!(machine instanceof WholeJobStateMachine)) return 0;
+  let count = 0;
+  for (const job of machine.jobs.all) if (job.isOpen) count += job.total - job.resultCount;
+  return count;
+}
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -203,6 +203,15 @@
     }
   }
 
+  /** Number of items that are leased now. */
+  leasedCount(nowMs: number): number {
+    let count = 0;
+    for (const { leases } of this.leasesByJob.values()) {
+      for (const { expiresAtMs } of leases.values()) if (expiresAtMs > nowMs) count += 1;
+    }
+    return count;
+  }
+
   private unleasedItems(
     jobs: WholeJobs,
     request: ItemRequest,
