Answer calls about jobs whatever routes are in force

Cause: an entry took a path for one of a job only while a batch route of the host was in force, and looked the job up under the workspace that this route called for. The stores still had the jobs. Change: the fleet group keeps the hosts that had batch routes; on these the stores say whether a job exists. The caller's workspace comes from its key alone; jobs keep whether their route was public.

--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -129,7 +129,9 @@
     await host.confirmLeadership();
     const job = stateMachine.jobs.get(request.jobId);
     if (job === undefined || job.isEnded) return { body: undefined };
-    return { body: job.findItem(request.itemId)?.body };
+    const { isPublic } = job.identity;
+    const body = job.findItem(request.itemId)?.body;
+    return { body, ...(isPublic === undefined ? {} : { isPublic }) };
   }
 
   private grant(
--- a/packages/fleet-control/src/protocol.ts
+++ b/packages/fleet-control/src/protocol.ts
@@ -95,6 +95,8 @@
 /** Body of an item; undefined if there is no such item. */
 export interface BodyAnswer {
   readonly body: Uint8Array | undefined;
+  /** Whether the route that accepted its job required no API key; omitted by earlier versions. */
+  readonly isPublic?: boolean;
 }
 
 /** Message to entries: a job was ended, and its running items must be cancelled. */
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -7,6 +7,7 @@
 import type { CrashChanges, CrashCommand, CrashRecordsData } from '@shedline/quarantine';
 import { match } from 'ts-pattern';
 import type { Configuration } from './configuration.js';
+import { JobHosts } from './job-hosts.js';
 import { UNKNOWN_START_MS, runIdOf } from './endpoint-run.js';
 import type { EndpointRun } from './endpoint-run.js';
 
@@ -80,6 +81,11 @@
   readonly since?: FleetPosition;
   readonly position: FleetPosition;
   readonly configuration?: Configuration;
+  /**
+   * Hosts that had a route for batch jobs in any configuration, see {@link JobHosts}; sent with the
+   * configuration, omitted by earlier versions.
+   */
+  readonly jobHosts?: readonly string[];
   /** Ids of the draining incarnations that the reader lacks. */
   readonly leaving: readonly string[];
   readonly stores?: StoreCluster;
@@ -101,6 +107,8 @@
   readonly retiringInstances?: readonly (readonly [string, string])[];
   /** Omitted by earlier versions. */
   readonly crashes?: CrashRecordsData;
+  /** Omitted by earlier versions. */
+  readonly jobHosts?: readonly string[];
 }
 
 /** The replicated state of a fleet. */
@@ -114,6 +122,7 @@
   private retiring = new Set<string>();
   private retiringInstances = new Map<string, string>();
   private readonly crashes = new CrashRecords();
+  private readonly jobHosts = new JobHosts();
 
   /** The current position of the state. */
   get position(): FleetPosition {
@@ -173,7 +182,7 @@
       position,
       leaving: this.leaving.slice(firstLacking),
       retiringStores: [...this.retiring],
-      ...(isConfigurationNewer ? { configuration } : {}),
+      ...(isConfigurationNewer ? { configuration, jobHosts: this.jobHosts.all } : {}),
       ...(stores === undefined ? {} : { stores }),
       ...(crashes.records.length === 0 ? {} : { crashes }),
     };
@@ -192,6 +201,7 @@
       retiringStores,
       retiringInstances: [...this.retiringInstances],
       crashes: this.crashes.toData(),
+      jobHosts: this.jobHosts.all,
     };
     return data;
   }
@@ -208,12 +218,15 @@
     this.retiring = new Set(data.retiringStores);
     this.retiringInstances = new Map(data.retiringInstances ?? []);
     this.crashes.restore(data.crashes);
+    this.jobHosts.restore(data.jobHosts ?? []);
+    this.jobHosts.add(this.configuration);
   }
 
   private putConfiguration({ configuration, document }: PutConfiguration): boolean {
     if (configuration.version <= this.position.version) return false;
     this.configuration = configuration;
     this.document = document;
+    this.jobHosts.add(configuration);
     return true;
   }
 
--- a/packages/fleet/src/known-fleet.ts
+++ b/packages/fleet/src/known-fleet.ts
@@ -3,7 +3,8 @@
  * behind changes nothing.
  */
 import type { CrashChanges } from '@shedline/quarantine';
-import { RouteTable } from './route-table.js';
+import { JobHosts } from './job-hosts.js';
+import { RouteTable, hostName } from './route-table.js';
 import type { FleetDelta, FleetPosition, StoreCluster } from './fleet-state.js';
 
 /** The effective changes of a delta. */
@@ -23,6 +24,7 @@
   private readonly leavingIds = new Set<string>();
   private stores: StoreCluster | undefined;
   private readonly retiring = new Set<string>();
+  private readonly jobHosts = new JobHosts();
 
   /** Routes of the newest known configuration; undefined before the first one. */
   get routes(): RouteTable | undefined {
@@ -34,6 +36,16 @@
     return this.stores;
   }
 
+  /** Returns the hosts that have, or had, a route for batch jobs. */
+  get knownJobHosts(): readonly string[] {
+    return this.jobHosts.all;
+  }
+
+  /** Whether a host has, or had, a route for batch jobs; a port in the host is ignored. */
+  mayHaveJobs(host: string): boolean {
+    return this.jobHosts.has(hostName(host));
+  }
+
   /** The position up to which the state is known. */
   get position(): FleetPosition {
     const { leaveCount, crashNumber } = this;
@@ -60,7 +72,11 @@
     const { configuration } = delta;
     const routesChanged =
       configuration !== undefined && configuration.version > this.position.version;
-    if (routesChanged) this.table = new RouteTable(configuration);
+    if (routesChanged) {
+      this.table = new RouteTable(configuration);
+      this.jobHosts.addHosts(delta.jobHosts ?? []);
+      this.jobHosts.add(configuration);
+    }
     return { newlyLeaving, routesChanged, crashes: delta.crashes };
   }
 
--- a/packages/fleet/src/route-table.ts
+++ b/packages/fleet/src/route-table.ts
@@ -53,6 +53,11 @@
     return { kind: 'workspace', workspace };
   }
 
+  /** Returns the workspace of an API key; undefined if no workspace has it. */
+  workspaceOf(apiKey: string | undefined): Workspace | undefined {
+    return apiKey === undefined ? undefined : this.workspaces?.findByKey(apiKey);
+  }
+
   /** Returns the routes of a host that accept batch jobs. */
   jobRoutes(host: string): Route[] {
     return (this.byHost.get(hostName(host)) ?? []).filter((route) => route.kind === 'jobs');
--- a/packages/gateway/src/api-key-authenticator.ts
+++ b/packages/gateway/src/api-key-authenticator.ts
@@ -62,10 +62,19 @@
       .exhaustive();
   }
 
+  /** Returns the refusal of a call about a job, which no route may serve any more. */
+  refuseJobCall(
+    { version }: RouteTable,
+    { apiKey, requestId }: { readonly apiKey: string | undefined; readonly requestId: string },
+  ): AuthenticationRefusal {
+    const reason = apiKey === undefined ? 'no key' : 'unknown key';
+    return this.refuse({ reason, requestId, version });
+  }
+
   private refuse(refused: {
     readonly reason: 'no key' | 'unknown key';
     readonly requestId: string;
-    readonly route: string;
+    readonly route?: string;
     readonly version: number;
   }): AuthenticationRefusal {
     const { reason, requestId: request, route, version } = refused;
@@ -75,7 +84,7 @@
     const fields = {
       step: 'key',
       request,
-      route,
+      ...(route === undefined ? {} : { route }),
       version,
       newsAgeMs: controlSilenceMs,
       outcome,
--- a/packages/gateway/src/fleet-follower.ts
+++ b/packages/gateway/src/fleet-follower.ts
@@ -94,6 +94,11 @@
     return this.freshness.ageMs;
   }
 
+  /** Whether a quorum has confirmed recently that it holds no newer state than this entry. */
+  get isStateFresh(): boolean {
+    return this.freshness.isFresh;
+  }
+
   /** Time since the last reply of a control process. */
   get controlSilenceMs(): number {
     return this.options.nowMs() - this.lastReplyAtMs;
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -25,6 +25,7 @@
 import { FleetFollower } from './fleet-follower.js';
 import { ApiKeyAuthenticator } from './api-key-authenticator.js';
 import { ItemRunner } from './item-runner.js';
+import { JobAccess } from './job-access.js';
 import { JobService, jobGroupsOf } from './job-service.js';
 import { LoadReporter } from './load-reporter.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
@@ -85,6 +86,7 @@
 export class GatewayProcess {
   readonly core: ProcessCore;
   readonly jobs: JobService;
+  readonly jobAccess: JobAccess;
   readonly authenticator: ApiKeyAuthenticator;
   readonly metrics = new ProcessMetrics();
   /** Calls in progress at all servers of this entry. */
@@ -245,6 +247,11 @@
       metrics: this.metrics,
       logger,
     });
+    this.jobAccess = new JobAccess({
+      fleet,
+      authenticator: this.authenticator,
+      isStateFresh: () => this.follower.isStateFresh,
+    });
     this.shutdown.onClosing(() => {
       this.startupGate.open();
       this.forwarder.endAll();
--- a/packages/gateway/src/job-service.test.ts
+++ b/packages/gateway/src/job-service.test.ts
@@ -5,7 +5,7 @@
 import { describe, title } from '@shedline/test-utils';
 import { JobService } from './job-service.js';
 
-const JOB = { host: 'h', jobId: 'j', workspace: undefined };
+const JOB = { host: 'h', jobId: 'j', workspace: undefined, withoutWorkspace: 'all' } as const;
 const ROUTE: Route = {
   name: 'jobs',
   host: 'h',
--- a/packages/gateway/src/job-service.ts
+++ b/packages/gateway/src/job-service.ts
@@ -5,7 +5,7 @@
 import { ShedlineError, toShedlineError } from '@shedline/errors';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import { hostName } from '@shedline/fleet';
-import type { BodyAnswer, ResultsAnswer } from '@shedline/fleet-control';
+import type { BodyAnswer, ResultsAnswer, ResultsRequest } from '@shedline/fleet-control';
 import type { Logger } from '@shedline/logger';
 import { groupOf } from '@shedline/types';
 import type { EndAnswer, SubmitAnswer, SubmittedItem } from '@shedline/whole-jobs';
@@ -28,6 +28,21 @@
   readonly workspace: string | undefined;
 }
 
+/** A call about a job that was submitted before. */
+export interface JobCall extends JobReference {
+  /**
+   * Which jobs without a workspace the call may reach: those that a public route accepted, or all,
+   * as the configuration requires no API key of it.
+   */
+  readonly withoutWorkspace: 'public' | 'all';
+}
+
+/** A job that a call may refer to. */
+interface JobCandidate extends JobReference {
+  /** Whether the job counts only if a public route accepted it. */
+  readonly mustBePublic: boolean;
+}
+
 /** A job as submitted by a caller. */
 export interface JobRequest extends JobReference {
   readonly path: string;
@@ -53,6 +68,8 @@
   readonly logger: Logger;
 }
 
+/** Read that returns as little as possible of a job. */
+const EXISTENCE_READ = { position: 0, waitMs: 0, maxBytes: 1 };
 /** Methods that change nothing, so that their callers may be told that nothing was executed. */
 const READING_METHODS: ReadonlySet<string> = new Set(['jobResults', 'itemBody']);
 
@@ -83,13 +100,19 @@
   return groupOf(`jobs|${hostName(host)}`, groupCount);
 }
 
-/** Returns the groups that hold the jobs of the current routes. */
+/** Returns the groups that hold the jobs of all hosts, also of those without a current route. */
 export function jobGroupsOf(fleet: KnownFleet): ReadonlySet<number> {
   const groupCount = fleet.storeCluster?.jobGroupCount ?? 0;
-  const routes = fleet.routes?.configuration.routes ?? [];
   if (groupCount === 0) return new Set();
-  const jobRoutes = routes.filter(({ kind }) => kind === 'jobs');
-  return new Set(jobRoutes.map(({ host }) => jobGroupOf(host, groupCount)));
+  return new Set(fleet.knownJobHosts.map((host) => jobGroupOf(host, groupCount)));
+}
+
+/** Returns the jobs that a call may refer to, in the order in which they are looked up. */
+function candidatesOf({ withoutWorkspace, ...reference }: JobCall): JobCandidate[] {
+  const mustBePublic = reference.workspace === undefined && withoutWorkspace === 'public';
+  const unowned = { ...reference, workspace: undefined, mustBePublic };
+  if (reference.workspace === undefined) return [unowned];
+  return [{ ...reference, mustBePublic: false }, unowned];
 }
 
 /** Serves callers' calls on jobs. */
@@ -116,6 +139,7 @@
       routeKey: routeKeyOf(route),
       quotaKey: quotaKeyOf(route, workspace),
       ...(workspace === undefined ? {} : { workspace }),
+      isPublic: route.isPublic === true,
       maxWaitingTokens: rules.maxWaitingTokens,
       resultsDueMs: rules.resultsDueMs,
       keepItemsMs: rules.keepItemsMs,
@@ -140,40 +164,66 @@
    * less if this process stops; undefined if there is no such job.
    */
   async results(
-    job: JobReference,
+    call: JobCall,
     { position, waitMs }: { readonly position: number; readonly waitMs: number },
   ): Promise<ResultsAnswer> {
     const limitedWaitMs = Math.min(waitMs, this.options.stop.waitLimitMs);
-    const body = {
-      jobId: storedJobId(job),
-      position,
-      waitMs: limitedWaitMs,
-      maxBytes: MAX_RESULTS_BYTES,
-    };
-    const timeoutMs = limitedWaitMs + CALL_TIMEOUT_MS;
-    return (await this.call('jobResults', job.host, body, timeoutMs)) as ResultsAnswer;
+    const read = { position, waitMs: limitedWaitMs, maxBytes: MAX_RESULTS_BYTES };
+    for (const job of candidatesOf(call)) {
+      const answer = await this.readResults(job, read);
+      if (answer !== undefined) return answer;
+    }
+    return undefined;
+  }
+
+  /** Whether the stores have the job of a call. */
+  async isKnown(call: JobCall): Promise<boolean> {
+    for (const job of candidatesOf(call)) {
+      if ((await this.readResults(job, EXISTENCE_READ)) !== undefined) return true;
+    }
+    return false;
   }
 
   /** Returns the body of an item; undefined if there is none. */
-  async body(job: JobReference, itemId: string): Promise<Uint8Array | undefined> {
-    const body = { jobId: storedJobId(job), itemId };
-    const answer = await this.call('itemBody', job.host, body, CALL_TIMEOUT_MS);
-    return (answer as BodyAnswer).body;
+  async body(call: JobCall, itemId: string): Promise<Uint8Array | undefined> {
+    for (const job of candidatesOf(call)) {
+      const body = { jobId: storedJobId(job), itemId };
+      const answer = await this.call('itemBody', job.host, body, CALL_TIMEOUT_MS);
+      const found = permitted(job, answer as BodyAnswer)?.body;
+      if (found !== undefined) return found;
+    }
+    return undefined;
   }
 
   /** Ends a job at its caller's request. */
-  async end(job: JobReference): Promise<EndAnswer> {
-    const body = { jobId: storedJobId(job) };
-    const answer = (await this.call('endJob', job.host, body, CALL_TIMEOUT_MS)) as EndAnswer;
+  async end(call: JobCall): Promise<EndAnswer> {
+    let answer: EndAnswer = { outcome: 'unknown' };
+    for (const job of candidatesOf(call)) {
+      const mayEnd = !job.mustBePublic || (await this.readResults(job, EXISTENCE_READ));
+      if (!mayEnd) continue;
+      const body = { jobId: storedJobId(job) };
+      answer = (await this.call('endJob', job.host, body, CALL_TIMEOUT_MS)) as EndAnswer;
+      if (answer.outcome === 'ended') break;
+    }
     this.options.logger.info('job ended by its caller', {
       step: 'end job',
-      request: job.jobId,
-      ...(job.workspace === undefined ? {} : { workspace: job.workspace }),
+      request: call.jobId,
+      ...(call.workspace === undefined ? {} : { workspace: call.workspace }),
       outcome: answer.outcome,
     });
     return answer;
   }
 
+  /** Reads results of a job; undefined if there is none that the caller may reach. */
+  private async readResults(
+    job: JobCandidate,
+    read: Omit<ResultsRequest, 'jobId'>,
+  ): Promise<ResultsAnswer> {
+    const body: ResultsRequest = { jobId: storedJobId(job), ...read };
+    const answer = await this.call('jobResults', job.host, body, read.waitMs + CALL_TIMEOUT_MS);
+    return permitted(job, answer as ResultsAnswer);
+  }
+
   private async propose(request: JobRequest, body: object): Promise<SubmitOutcome> {
     const timeoutMs = Math.max(100, request.timeLeftMs - SUBMIT_REPLY_MARGIN_MS);
     try {
@@ -209,6 +259,14 @@
   }
 }
 
+/** Returns an answer about a job if the caller may reach the job. */
+function permitted<T extends { readonly isPublic?: boolean }>(
+  { mustBePublic }: JobCandidate,
+  answer: T | undefined,
+): T | undefined {
+  return mustBePublic && answer?.isPublic !== true ? undefined : answer;
+}
+
 function stoppedError(method: string): ShedlineError {
   const message = 'this entry stops; call another one';
   return READING_METHODS.has(method)
--- a/packages/gateway/src/state-freshness.ts
+++ b/packages/gateway/src/state-freshness.ts
@@ -37,6 +37,11 @@
     return this.options.nowMs() - this.confirmedAtMs;
   }
 
+  /** Whether the last confirmation is recent enough to rely on the state. */
+  get isFresh(): boolean {
+    return this.ageMs < MAX_CONFIRMATION_AGE_MS;
+  }
+
   /** Notes that according to `peer` the known state was the newest at `atMs`. */
   confirm(atMs: number, peer: string): void {
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -31,6 +31,8 @@
   readonly routeKey?: string;
   /** Workspace that owns the job; undefined if its route requires no API key. */
   readonly workspace?: string;
+  /** Whether its route required no API key; omitted by earlier versions. */
+  readonly isPublic?: boolean;
   /** Jobs with the same key share one limit on waiting tokens. */
   readonly quotaKey: string;
   /** Limit on the waiting tokens of the quota key; 0 means no limit. */
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -34,6 +34,8 @@
   readonly routeKey?: string;
   /** Undefined if its route requires no API key. */
   readonly workspace?: string;
+  /** Whether its route required no API key; undefined for jobs of earlier versions. */
+  readonly isPublic?: boolean;
   readonly quotaKey: string;
   readonly maxAttempts: number;
   /** Wall clock of the leader that accepted it. */
@@ -115,11 +117,11 @@
   /** Creates a job from its submission and stores its items. */
   static fromSubmission(command: SubmitJob, fileName: string, files: ItemFiles): JobRecord {
     const { jobId, host, path, quotaKey, maxAttempts, resultsDueMs, keepItemsMs } = command;
-    const { routeKey = quotaKey, workspace } = command;
-    const optionalWorkspace = workspace === undefined ? {} : { workspace };
+    const { routeKey = quotaKey, workspace, isPublic } = command;
     const rules = {
       routeKey,
-      ...optionalWorkspace,
+      ...(workspace === undefined ? {} : { workspace }),
+      ...(isPublic === undefined ? {} : { isPublic }),
       quotaKey,
       maxAttempts,
       resultsDueMs,
--- a/packages/whole-jobs/src/whole-jobs.ts
+++ b/packages/whole-jobs/src/whole-jobs.ts
@@ -23,6 +23,8 @@
   readonly results: readonly JobResult[];
   /** Position at which the next page starts. */
   readonly nextPosition: number;
+  /** See {@link JobIdentity.isPublic}. */
+  readonly isPublic?: boolean;
 }
 
 interface WholeJobsData {
@@ -79,7 +81,9 @@
       results.push(result);
       next += 1;
     }
-    return { total: job.total, results, nextPosition: next };
+    const { isPublic } = job.identity;
+    const access = isPublic === undefined ? {} : { isPublic };
+    return { total: job.total, results, nextPosition: next, ...access };
   }
 
   /** Sum of the waiting tokens of the jobs with a quota key. */
