Let items of a removed route yield their slots

Cause: an entry observes the endpoints of the services of batch routes in force; without one it owns none, so reports of other entries no longer stop its items. Change: services at which items run are observed too. Result: the case 'after the removal of their route' of gateway/item-runner fails without the change (4 items go on) and passes with it.

--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type { GroupCaller } from '@shedline/control-client';
 import { KnownFleet } from '@shedline/fleet';
+import type { Route } from '@shedline/fleet';
 import type {
   EndpointProtocol,
   RequestSender,
@@ -243,26 +244,41 @@
   readonly hasCrashed?: boolean;
   readonly nowMs?: () => number;
   readonly pool?: EndpointPool;
+  readonly fleet?: KnownFleet;
 }
 
-function createRunner(
-  stores: FakeStores,
-  sender: RequestSender,
-  { hasCrashed = false, nowMs = () => performance.now(), pool = createPool() }: RunnerOptions = {},
-): ItemRunner {
+/** A fleet whose configuration has the route. */
+function createFleet(): KnownFleet {
   const fleet = new KnownFleet();
+  putRoutes(fleet, 1, [ROUTE]);
+  return fleet;
+}
+
+function putRoutes(fleet: KnownFleet, version: number, routes: readonly Route[]): void {
   fleet.applyDelta({
-    position: { version: 1, leaveCount: 0 },
+    position: { version, leaveCount: 0 },
     leaving: [],
     retiringStores: [],
     configuration: {
-      version: 1,
-      routes: [ROUTE],
+      version,
+      routes,
       services: [{ name: 'svc', healthPath: '/', maxConnections: 10 }],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     },
     stores: { clusterId: 'c', initialMembers: [], jobGroupCount: 1, voterCount: 1 },
   });
+}
+
+function createRunner(
+  stores: FakeStores,
+  sender: RequestSender,
+  {
+    hasCrashed = false,
+    nowMs = () => performance.now(),
+    pool = createPool(),
+    fleet = createFleet(),
+  }: RunnerOptions = {},
+): ItemRunner {
   return new ItemRunner({
     holder: HOLDER,
     self: 'entry',
@@ -437,34 +453,46 @@
   });
 
   // Guards against an online request that waits behind items until the next scheduled check.
-  test(title('stops items at once where another entry reports online requests'), async (t) => {
-    let skippedMs = 0;
-    const nowMs = (): number => performance.now() + skippedMs;
-    const stores = new FakeStores(nowMs);
-    const pool = createPool();
-    let running = 0;
-    const sender: RequestSender = {
-      send: () => {
-        running += 1;
-        let settle: (result: SendResult) => void = () => undefined;
-        const result = new Promise<SendResult>((resolve) => (settle = resolve));
-        const stop = (): void => {
-          running -= 1;
-          settle({ kind: 'stopped' });
+  for (const isRemoved of [false, true]) {
+    const when = isRemoved ? ' after the removal of their route' : '';
+    test(
+      title(`stops items at once where another entry reports online requests${when}`),
+      async (t) => {
+        let skippedMs = 0;
+        const nowMs = (): number => performance.now() + skippedMs;
+        const stores = new FakeStores(nowMs);
+        const pool = createPool();
+        let running = 0;
+        const sender: RequestSender = {
+          send: () => {
+            running += 1;
+            let settle: (result: SendResult) => void = () => undefined;
+            const result = new Promise<SendResult>((resolve) => (settle = resolve));
+            const stop = (): void => {
+              running -= 1;
+              settle({ kind: 'stopped' });
+            };
+            return { result, stop, resume: () => undefined };
+          },
         };
-        return { result, stop, resume: () => undefined };
+        const fleet = createFleet();
+        const runner = createRunner(stores, sender, { nowMs, pool, fleet });
+        stores.submit(['a', 'b', 'c', 'd']);
+        runner.start();
+        while (running < SLOTS) await pause(10);
+        if (isRemoved) {
+          putRoutes(fleet, 2, []);
+          // The free slots are checked at least this often.
+          await pause(1000);
+        }
+        skippedMs += 100;
+        const [endpointId = ''] = pool.ownLoads().map((load) => load.endpointId);
+        const loads = [{ endpointId, online: 3, batch: 0 }];
+        pool.observePeerLoads('other', loads);
+        runner.noteLoads(loads);
+        t.is(running, 1);
+        await runner.drain();
       },
-    };
-    const runner = createRunner(stores, sender, { nowMs, pool });
-    stores.submit(['a', 'b', 'c', 'd']);
-    runner.start();
-    while (running < SLOTS) await pause(10);
-    skippedMs = 100;
-    const [endpointId = ''] = pool.ownLoads().map((load) => load.endpointId);
-    const loads = [{ endpointId, online: 3, batch: 0 }];
-    pool.observePeerLoads('other', loads);
-    runner.noteLoads(loads);
-    t.is(running, 1);
-    await runner.drain();
-  });
+    );
+  }
 });
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -187,10 +187,12 @@
     return routes.filter(({ kind }) => kind === 'jobs');
   }
 
-  /** Passes the current load of the endpoints of all routes to the planner. */
+  /** Passes the current load of the endpoints of all routes and runs to the planner. */
   private observeSlots(): void {
     const { pool, usersOf, nowMs } = this.options;
-    const services = new Set(this.jobRoutes().flatMap(servicesOf));
+    // A service whose routes have moved or ended still runs items, which must yield their slots.
+    const running = [...this.runs.values()].map(({ origin }) => origin.service);
+    const services = new Set([...this.jobRoutes().flatMap(servicesOf), ...running]);
     this.usableByService.clear();
     const usable = new Map<string, SlotCandidate>();
     for (const service of services) {
