End the items of jobs that no route serves, and run those that another route serves

Cause: entries request items by the key of a route in force, stores granted those with exactly this key, and nothing ended the others before their keep time. Change: the leading store finds the route that serves a job now, by its path or the name of its route, and grants its items for that one. Items that no route has served for 5 s and no entry holds are listed as errored, after a read of the configuration through the quorum. They are ended by commitRuns, which stores of earlier versions apply alike.

--- a/packages/fleet-control/src/job-requests.ts
+++ b/packages/fleet-control/src/job-requests.ts
@@ -4,10 +4,13 @@
 import { instanceOf } from '@shedline/consensus';
 import type { GroupHost } from '@shedline/control';
 import type { ShedlineError } from '@shedline/errors';
+import type { Logger } from '@shedline/logger';
 import type { ProcessMetrics } from '@shedline/metrics';
 import { ItemDispenser } from '@shedline/whole-jobs';
 import type { CommitRuns, ItemRef, ItemRequest } from '@shedline/whole-jobs';
 import type { WholeJobStateMachine } from './group-state-machines.js';
+import type { JobRoutes } from './job-routes.js';
+import { ROUTE_END_HOLDER, RouteEndTask } from './route-end-task.js';
 import type {
   BodyAnswer,
   BodyRequest,
@@ -23,6 +26,11 @@
 /** Options of {@link JobRequests}. */
 export interface JobRequestsOptions {
   readonly metrics: ProcessMetrics;
+  readonly logger: Logger;
+  /** Routes of jobs in the newest configuration that this process knows. */
+  readonly routes: JobRoutes;
+  /** Reads the newest configuration through the quorum of the fleet group. */
+  readonly readNewestConfiguration: () => Promise<void>;
   /** Creates the error of a request that this process cannot serve. */
   readonly unavailable: (step: string, message: string, leader: string) => ShedlineError;
   readonly nowMs: () => number;
@@ -32,6 +40,7 @@
 export class JobRequests {
   private readonly options: JobRequestsOptions;
   private readonly dispensers = new Map<number, ItemDispenser>();
+  private readonly routeEnds = new Map<number, RouteEndTask>();
   /** Callbacks that resume the readers waiting for results, by job. */
   private readonly readers = new Map<string, Set<() => void>>();
 
@@ -42,6 +51,7 @@
   /** Called when this member becomes leader; entries report the items that they hold by renewal. */
   becameLeader(group: number): void {
     this.dispenserOf(group).becameLeader(this.options.nowMs());
+    this.routeEndsOf(group).becameLeader();
   }
 
   /** Removes expired item leases. */
@@ -49,6 +59,11 @@
     this.dispenserOf(group).sweep(stateMachine.jobs, this.options.nowMs());
   }
 
+  /** Ends the items of jobs whose route has ended; called periodically for the groups led. */
+  endItemsWithoutRoute(host: GroupHost, { jobs }: WholeJobStateMachine): Promise<void> {
+    return this.routeEndsOf(host.group).run(host, jobs);
+  }
+
   /** Number of items of a group that are leased to entries. */
   leasedItems(group: number): number {
     return this.dispenserOf(group).leasedCount(this.options.nowMs());
@@ -58,7 +73,8 @@
   runsCommitted(group: number, run: CommitRuns): void {
     const { holder, finished, failed, returned, crashed = [] } = run;
     const dispenser = this.dispenserOf(group);
-    dispenser.recordFinished(finished, this.options.nowMs());
+    // Ends of routes say nothing about how long items take.
+    if (holder !== ROUTE_END_HOLDER) dispenser.recordFinished(finished, this.options.nowMs());
     dispenser.release(holder, [...failed, ...returned]);
     const changedJobIds = [...finished, ...failed, ...crashed].map(({ jobId }) => jobId);
     for (const jobId of new Set(changedJobIds)) this.resumeReaders(jobId);
@@ -144,7 +160,7 @@
     const { jobs } = stateMachine;
     const dispenser = this.dispenserOf(host.group);
     const time = { nowMs: this.options.nowMs(), wallMs: Date.now() };
-    const granted = dispenser.grant(jobs, request, time);
+    const granted = dispenser.grant(jobs, request, time, (job) => this.options.routes.keyOf(job));
     const items = granted.items.map(({ job, index, mustRunAlone, progress }) => {
       const { jobId, host: jobHost, path, workspace } = job.identity;
       const { dueAtMs } = job;
@@ -182,6 +198,17 @@
     throw this.options.unavailable(step, `this store does not lead group ${host.group}`, leader);
   }
 
+  private routeEndsOf(group: number): RouteEndTask {
+    const known = this.routeEnds.get(group);
+    if (known !== undefined) return known;
+    const { routes, logger, metrics, nowMs, readNewestConfiguration: readNewest } = this.options;
+    const dispenser = this.dispenserOf(group);
+    const shared = { routes, logger, metrics, nowMs, readNewest };
+    const created = new RouteEndTask({ group, dispenser, ...shared });
+    this.routeEnds.set(group, created);
+    return created;
+  }
+
   private dispenserOf(group: number): ItemDispenser {
     const known = this.dispensers.get(group);
     if (known !== undefined) return known;
--- a/packages/fleet-control/src/store-process.ts
+++ b/packages/fleet-control/src/store-process.ts
@@ -3,6 +3,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { FleetSettings } from '@shedline/config';
+import { LeaderCaller } from '@shedline/control-client';
 import { GroupNode } from '@shedline/control';
 import type { ClusterDocument, GroupHost } from '@shedline/control';
 import { ShedlineError } from '@shedline/errors';
@@ -11,11 +12,13 @@
 import { ProcessMetrics } from '@shedline/metrics';
 import type { PeerConnections } from '@shedline/transport';
 import type { WholeJobCommand } from '@shedline/whole-jobs';
-import { WholeJobStateMachine } from './group-state-machines.js';
+import { FLEET_GROUP, WholeJobStateMachine } from './group-state-machines.js';
 import { groupSettings } from './group-settings.js';
 import { ProcessCore } from './process-core.js';
 import { storesToConnect } from './store-peers.js';
 import { JobRequests } from './job-requests.js';
+import { JobRoutes } from './job-routes.js';
+import { callPortsOf } from './peer-ports.js';
 import type { JobEndedMessage } from './protocol.js';
 import { StateReader } from './state-reader.js';
 
@@ -25,6 +28,9 @@
 const JOIN_RETRY_MS = 200;
 /** Interval of polling the fleet state; changes are also pushed. */
 const REFRESH_INTERVAL_MS = 1000;
+const STATE_READ_TIMEOUT_MS = 1500;
+/** Maximum wait for one control process before the next one is tried. */
+const MAX_CONTROL_ATTEMPT_MS = 500;
 /** Covers clock differences and readers that are slightly late. */
 const RETENTION_MARGIN_MS = 30_000;
 
@@ -52,6 +58,7 @@
   private readonly stores: PeerConnections;
   private readonly groups: GroupNode;
   private readonly state: StateReader;
+  private readonly controlCaller: LeaderCaller;
   private readonly requests: JobRequests;
   private readonly random: () => number;
   private timer: NodeJS.Timeout | undefined;
@@ -79,9 +86,16 @@
       },
     });
     this.stores = this.core.createPeerConnections({ silenceDetection: 'fast' });
+    this.controlCaller = new LeaderCaller({
+      ports: () => callPortsOf(this.core.mesh.controls),
+      maxAttemptMs: MAX_CONTROL_ATTEMPT_MS,
+    });
     this.requests = new JobRequests({
       nowMs: this.nowMs,
       metrics: this.metrics,
+      logger: this.logger,
+      routes: new JobRoutes(this.state.fleet),
+      readNewestConfiguration: () => this.readNewestState(),
       unavailable: (step, message, leader) => this.core.unavailable(step, message, leader),
     });
     this.random = options.random ?? Math.random;
@@ -144,8 +158,9 @@
         },
         leaderTick: (host) => {
           const { machine } = host;
-          if (machine instanceof WholeJobStateMachine)
-            this.requests.removeExpiredLeases(host.group, machine);
+          if (!(machine instanceof WholeJobStateMachine)) return;
+          this.requests.removeExpiredLeases(host.group, machine);
+          this.groups.inBackground(this.requests.endItemsWithoutRoute(host, machine));
         },
         isRetiring: (store) => this.state.fleet.isRetiring(store),
         housekeep: (host) => {
@@ -174,6 +189,18 @@
     if (control !== undefined) void this.state.readFrom(control);
   }
 
+  /** Reads the state through the quorum of the fleet group, so that no acknowledged change is missing. */
+  private async readNewestState(): Promise<void> {
+    const { position } = this.state.fleet;
+    const read = this.controlCaller.call(
+      'fleetDelta',
+      FLEET_GROUP,
+      position,
+      STATE_READ_TIMEOUT_MS,
+    );
+    this.state.fleet.applyDelta((await read) as FleetDelta);
+  }
+
   /** Announces the groups that this store holds and leads, by which entries find them. */
   private announceGroups(): void {
     const hosts = [...this.groups.hosts.values()];
--- a/packages/fleet/src/route-table.ts
+++ b/packages/fleet/src/route-table.ts
@@ -11,6 +11,14 @@
   | { readonly kind: 'workspace'; readonly workspace: Workspace }
   | { readonly kind: 'refused'; readonly reason: 'no key' | 'unknown key' };
 
+/** How a job was submitted. */
+export interface JobOrigin {
+  readonly host: string;
+  readonly path: string;
+  /** Name of the route that accepted it; undefined for jobs of earlier versions. */
+  readonly routeName: string | undefined;
+}
+
 /** The routes of one configuration, by host. */
 export class RouteTable {
   readonly version: number;
@@ -39,6 +47,16 @@
     return this.byHost.get(hostName(host))?.find((route) => path.startsWith(route.pathPrefix));
   }
 
+  /**
+   * Returns the route that serves a job: the one that the path of its submission selects if it accepts
+   * batch jobs, else the batch route of its host with the name of the route that accepted it.
+   */
+  findJobRoute({ host, path, routeName }: JobOrigin): Route | undefined {
+    const selected = this.find(host, path);
+    if (selected?.kind === 'jobs') return selected;
+    return this.jobRoutes(host).find(({ name }) => name === routeName);
+  }
+
   /** Whether the configuration uses API keys. */
   get usesKeys(): boolean {
     return this.workspaces !== undefined;
@@ -64,6 +82,11 @@
   }
 }
 
+/** Returns the key of a route under which entries request its items from the stores. */
+export function routeKeyOf(route: Route): string {
+  return `${route.host}${route.pathPrefix}`;
+}
+
 /** Returns the name in a `Host` header, in lower case and without its port. */
 export function hostName(host: string): string {
   const colon = host.lastIndexOf(':');
--- a/packages/gateway/src/item-requester.ts
+++ b/packages/gateway/src/item-requester.ts
@@ -2,12 +2,13 @@
  * Requests batch items from the stores, one request at a time per route.
  */
 import type { GroupCaller } from '@shedline/control-client';
+import { routeKeyOf } from '@shedline/fleet';
 import type { KnownFleet, Route } from '@shedline/fleet';
 import type { GrantAnswer, GrantedItem } from '@shedline/fleet-control';
 import type { Logger } from '@shedline/logger';
 import type { ItemRequest } from '@shedline/whole-jobs';
 import { GrantSchedule } from './grant-schedule.js';
-import { jobGroupOf, routeKeyOf } from './job-service.js';
+import { jobGroupOf } from './job-service.js';
 
 const GRANT_TIMEOUT_MS = 1000;
 
@@ -36,9 +37,9 @@
     this.options = options;
   }
 
-  /** Number of items that wait at the stores, as last stated by them. */
-  get waitingItems(): number {
-    return [...this.schedules.values()].reduce((sum, { waitingItems }) => sum + waitingItems, 0);
+  /** Number of items of routes that wait at the stores, as last stated by them. */
+  waitingItems(routes: readonly Route[]): number {
+    return routes.reduce((sum, route) => sum + this.scheduleOf(route).waitingItems, 0);
   }
 
   /** Returns the time until items of a route may be requested; Infinity during a request. */
--- a/packages/gateway/src/item-runner.test.ts
+++ b/packages/gateway/src/item-runner.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import type { GroupCaller } from '@shedline/control-client';
-import { KnownFleet } from '@shedline/fleet';
+import { KnownFleet, routeKeyOf } from '@shedline/fleet';
 import type { Route } from '@shedline/fleet';
 import type {
   EndpointProtocol,
@@ -16,7 +16,6 @@
 import type { CommitRuns, ItemRef, ItemRequest, ReturnedItem } from '@shedline/whole-jobs';
 import { EndpointPool } from './endpoint-pool.js';
 import { ItemRunner } from './item-runner.js';
-import { routeKeyOf } from './job-service.js';
 
 const HOST = 'host.example';
 const PREFIX = '/jobs/';
--- a/packages/gateway/src/item-runner.ts
+++ b/packages/gateway/src/item-runner.ts
@@ -450,7 +450,7 @@
       step: 'run item',
       running: this.runs.size,
       ownedEndpoints: this.planner.ownedEndpoints,
-      waitingItems: this.requester.waitingItems,
+      waitingItems: this.requester.waitingItems(this.jobRoutes()),
     });
   }
 
--- a/packages/gateway/src/job-service.ts
+++ b/packages/gateway/src/job-service.ts
@@ -4,7 +4,7 @@
 import type { GroupCaller } from '@shedline/control-client';
 import { ShedlineError, toShedlineError } from '@shedline/errors';
 import type { KnownFleet, Route } from '@shedline/fleet';
-import { hostName } from '@shedline/fleet';
+import { hostName, routeKeyOf } from '@shedline/fleet';
 import type { BodyAnswer, ResultsAnswer, ResultsRequest } from '@shedline/fleet-control';
 import type { Logger } from '@shedline/logger';
 import { groupOf } from '@shedline/types';
@@ -73,11 +73,6 @@
 /** Methods that change nothing, so that their callers may be told that nothing was executed. */
 const READING_METHODS: ReadonlySet<string> = new Set(['jobResults', 'itemBody']);
 
-/** Returns the key of a route under which entries request its items from the stores. */
-export function routeKeyOf(route: Route): string {
-  return `${route.host}${route.pathPrefix}`;
-}
-
 /** Returns the key of the jobs that share a limit on waiting tokens: a workspace's on a route. */
 function quotaKeyOf(route: Route, workspace: string | undefined): string {
   const key = routeKeyOf(route);
@@ -140,6 +135,8 @@
       quotaKey: quotaKeyOf(route, workspace),
       ...(workspace === undefined ? {} : { workspace }),
       isPublic: route.isPublic === true,
+      routeName: route.name,
+      configurationVersion: this.options.fleet.position.version,
       maxWaitingTokens: rules.maxWaitingTokens,
       resultsDueMs: rules.resultsDueMs,
       keepItemsMs: rules.keepItemsMs,
--- a/packages/whole-jobs/src/commands.ts
+++ b/packages/whole-jobs/src/commands.ts
@@ -29,6 +29,10 @@
   readonly path: string;
   /** Key by which entries request its items; earlier versions omit it and use {@link quotaKey}. */
   readonly routeKey?: string;
+  /** Name of the route that accepted the job; omitted by earlier versions. */
+  readonly routeName?: string;
+  /** Version of the configuration under which it was accepted; omitted by earlier versions. */
+  readonly configurationVersion?: number;
   /** Workspace that owns the job; undefined if its route requires no API key. */
   readonly workspace?: string;
   /** Whether its route required no API key; omitted by earlier versions. */
--- a/packages/whole-jobs/src/index.ts
+++ b/packages/whole-jobs/src/index.ts
@@ -4,4 +4,5 @@
 export * from './commands.js';
 export * from './item-dispenser.js';
 export * from './job-record.js';
+export * from './route-ends.js';
 export * from './whole-jobs.js';
--- a/packages/whole-jobs/src/item-dispenser.ts
+++ b/packages/whole-jobs/src/item-dispenser.ts
@@ -136,9 +136,20 @@
     this.grantsFromMs = nowMs + ELECTION_GRACE_MS;
   }
 
-  /** Leases the first waiting items in the order of {@link compareWaitingItems}. */
-  grant(jobs: WholeJobs, request: ItemRequest, time: DispenserTime): GrantResult {
-    const waiting = this.unleasedItems(jobs, request, time);
+  /**
+   * Leases the first waiting items in the order of {@link compareWaitingItems}. `routeKeyOf` returns
+   * the key of the route that serves a job, by default the one that accepted it.
+   */
+  grant(
+    jobs: WholeJobs,
+    request: ItemRequest,
+    time: DispenserTime,
+    routeKeyOf: (job: JobRecord) => string | undefined = ({ routeKey }) => routeKey,
+  ): GrantResult {
+    const served = [...jobs.all].filter(
+      (job) => job.isOpen && routeKeyOf(job) === request.routeKey,
+    );
+    const waiting = this.unleasedItems(served, request, time);
     if (time.nowMs < this.grantsFromMs) return { items: [], unleasedCount: waiting.length };
     this.runMs = request.runMs;
     const { slowdown } = this.slowdownEstimate;
@@ -203,6 +214,19 @@
     }
   }
 
+  /**
+   * Returns the items of a job that no entry holds; none until the holders have renewed their leases
+   * after an election.
+   */
+  unheldItems(job: JobRecord, nowMs: number): ItemRef[] {
+    if (nowMs < this.grantsFromMs) return [];
+    const { jobId } = job.identity;
+    const leases = this.leasesByJob.get(jobId)?.leases;
+    const indexes = [...job.openIndexes()];
+    const unheld = indexes.filter((index) => (leases?.get(index)?.expiresAtMs ?? 0) <= nowMs);
+    return unheld.map((index) => ({ jobId, index }));
+  }
+
   /** Number of items that are leased now. */
   leasedCount(nowMs: number): number {
     let count = 0;
@@ -213,13 +237,12 @@
   }
 
   private unleasedItems(
-    jobs: WholeJobs,
+    jobs: readonly JobRecord[],
     request: ItemRequest,
     time: DispenserTime,
   ): UnleasedItem[] {
     const unleased: UnleasedItem[] = [];
-    for (const job of jobs.all) {
-      if (!job.isOpen || job.routeKey !== request.routeKey) continue;
+    for (const job of jobs) {
       const leases = this.leasesByJob.get(job.identity.jobId)?.leases;
       const untilDueMs = job.dueAtMs - time.wallMs;
       const allowedMs = job.identity.resultsDueMs;
--- a/packages/whole-jobs/src/job-record.ts
+++ b/packages/whole-jobs/src/job-record.ts
@@ -32,6 +32,10 @@
   readonly path: string;
   /** Key by which entries request its items; undefined for jobs of earlier versions. */
   readonly routeKey?: string;
+  /** Name of the route that accepted it; undefined for jobs of earlier versions. */
+  readonly routeName?: string;
+  /** Version of the configuration under which it was accepted; undefined as above. */
+  readonly configurationVersion?: number;
   /** Undefined if its route requires no API key. */
   readonly workspace?: string;
   /** Whether its route required no API key; undefined for jobs of earlier versions. */
@@ -117,9 +121,11 @@
   /** Creates a job from its submission and stores its items. */
   static fromSubmission(command: SubmitJob, fileName: string, files: ItemFiles): JobRecord {
     const { jobId, host, path, quotaKey, maxAttempts, resultsDueMs, keepItemsMs } = command;
-    const { routeKey = quotaKey, workspace, isPublic } = command;
+    const { routeKey = quotaKey, routeName, configurationVersion, workspace, isPublic } = command;
     const rules = {
       routeKey,
+      ...(routeName === undefined ? {} : { routeName }),
+      ...(configurationVersion === undefined ? {} : { configurationVersion }),
       ...(workspace === undefined ? {} : { workspace }),
       ...(isPublic === undefined ? {} : { isPublic }),
       quotaKey,
