Look up no job of a workspace by an id with a slash

Cause: jobs of a workspace are stored under 'workspace/id'; a submission with such an id, repeated on a path without a route, would have been told that another workspace's job is known.

--- a/packages/gateway/src/job-service.ts
+++ b/packages/gateway/src/job-service.ts
@@ -105,9 +105,11 @@
 /** Returns the jobs that a call may refer to, in the order in which they are looked up. */
 function candidatesOf({ withoutWorkspace, ...reference }: JobCall): JobCandidate[] {
   const mustBePublic = reference.workspace === undefined && withoutWorkspace === 'public';
-  const unowned = { ...reference, workspace: undefined, mustBePublic };
-  if (reference.workspace === undefined) return [unowned];
-  return [{ ...reference, mustBePublic: false }, unowned];
+  // With a slash, the id could be that of a job of a workspace, see storedJobId.
+  const mayBeUnowned = !reference.jobId.includes('/');
+  const unowned = mayBeUnowned ? [{ ...reference, workspace: undefined, mustBePublic }] : [];
+  if (reference.workspace === undefined) return unowned;
+  return [{ ...reference, mustBePublic: false }, ...unowned];
 }
 
 /** Serves callers' calls on jobs. */
